--- /dev/null
+++ b/libs/base/include/base/ErrorKind.h
@@ -0,0 +1,81 @@
+#ifndef VANILLAYARD_BASE_ERRORKIND_H
+#define VANILLAYARD_BASE_ERRORKIND_H
+
+#include "absl/status/status.h"
+#include "absl/time/time.h"
+
+#include <optional>
+#include <span>
+#include <string_view>
+
+namespace vanillayard {
+
+/// Every error that a caller, an operator or another host can be answered
+/// with. The list is closed; errorKindTable() gives the answer for each.
+enum class ErrorKind {
+  InvalidRequest,
+  UnknownKind,
+  UnknownAccount,
+  NotFound,
+  RequestTimeout,
+  Conflict,
+  InProgress,
+  Cancelled,
+  CancelledRunning,
+  PayloadTooLarge,
+  NeverFits,
+  KeyReused,
+  RateLimited,
+  HeadersTooLarge,
+  Internal,
+  TaskFailed,
+  AnswerTruncated,
+  AnswerMismatch,
+  NotReady,
+  ShuttingDown,
+  PlatformUnavailable,
+  NoCapacity,
+  QueueFull,
+  DeadlineUnreachable,
+  DeadlineExpired,
+  OutcomeUnknown,
+};
+
+/// Whether the request that got an error ran.
+enum class Execution { NotRun, MayHaveRun, Ran };
+
+/// One row of the table from error kind to answer.
+struct ErrorAnswer {
+  ErrorKind Kind;
+  /// Name on the wire, such as "queue_full".
+  std::string_view Name;
+  int HttpStatus;
+  Execution RequestExecution;
+  absl::StatusCode Code;
+  std::string_view Title;
+};
+
+std::span<const ErrorAnswer> errorKindTable();
+const ErrorAnswer &answerFor(ErrorKind Kind);
+std::string_view nameOf(Execution Value);
+std::optional<ErrorKind> parseErrorKind(std::string_view Name);
+
+/// Makes a status that carries \p Kind as payload.
+/// \param Detail a sentence for the caller.
+/// \param RetryAfter when a retry may succeed; zero if no hint can be given.
+absl::Status makeError(ErrorKind Kind, std::string_view Detail,
+                       absl::Duration RetryAfter = absl::ZeroDuration());
+
+/// Returns the kind that makeError() stored. A status from elsewhere is
+/// Internal, whose execution is MayHaveRun.
+ErrorKind errorKindOf(const absl::Status &Status);
+
+/// Returns the hint given to makeError(), or zero.
+absl::Duration retryAfterOf(const absl::Status &Status);
+
+/// Returns true only when the table says that the request did not run.
+bool isProvablyNotRun(const absl::Status &Status);
+
+} // namespace vanillayard
+
+#endif
--- /dev/null
+++ b/libs/base/include/base/Ids.h
@@ -0,0 +1,30 @@
+#ifndef VANILLAYARD_BASE_IDS_H
+#define VANILLAYARD_BASE_IDS_H
+
+#include "base/StrongId.h"
+
+namespace vanillayard {
+
+/// An accelerator machine.
+using WorkerId = StrongId<struct WorkerTag>;
+/// An entry host of this system.
+using HostId = StrongId<struct HostTag>;
+using DataCentreId = StrongId<struct DataCentreTag>;
+using RackId = StrongId<struct RackTag>;
+/// A client account, the holder of guarantees.
+using ClientAccountId = StrongId<struct ClientAccountTag>;
+/// One caller within a client account.
+using CallerId = StrongId<struct CallerTag>;
+/// The name of a kind of work, such as "price-check".
+using KindId = StrongId<struct KindTag>;
+using PresetId = StrongId<struct PresetTag>;
+using JobId = StrongId<struct JobTag>;
+using RequestId = StrongId<struct RequestTag>;
+/// A lease on a worker. Chosen by the client, so acquiring is idempotent.
+using LeaseId = StrongId<struct LeaseTag>;
+/// "address:port" of a back end, by IP number.
+using Endpoint = StrongId<struct EndpointTag>;
+
+} // namespace vanillayard
+
+#endif
--- /dev/null
+++ b/libs/net/include/net/HttpServer.h
@@ -0,0 +1,76 @@
+#ifndef VANILLAYARD_NET_HTTPSERVER_H
+#define VANILLAYARD_NET_HTTPSERVER_H
+
+#include "base/Ids.h"
+#include "net/HttpResponder.h"
+
+#include "absl/status/statusor.h"
+#include "absl/time/time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+
+namespace vanillayard {
+
+class LoopExecutor;
+
+/// An HTTP/1.1 and HTTP/2 server on one loop, by h2o.
+///
+/// \code
+///   auto Server = HttpServer::Builder(Loop)
+///                     .address(Endpoint("127.0.0.1:0"))
+///                     .maxBodyBytes(1 << 20)
+///                     .handler(Handle)
+///                     .build();
+/// \endcode
+class HttpServer {
+public:
+  class Builder {
+  public:
+    explicit Builder(LoopExecutor &Loop) : Loop(Loop) {}
+    /// IP address and port; port 0 lets the kernel choose. Required.
+    Builder &address(Endpoint Value);
+    /// Called for each request. Required.
+    Builder &handler(HttpHandler Value);
+    /// Most bytes of a request body; a larger one is answered with 413.
+    /// Default 1 MiB.
+    Builder &maxBodyBytes(size_t Value);
+    /// Time to receive a request, headers and body. Default 10 s.
+    Builder &requestTimeout(absl::Duration Value);
+    /// Errors: InvalidArgument for a bad address, Unavailable if the address
+    /// cannot be bound.
+    absl::StatusOr<std::unique_ptr<HttpServer>> build();
+
+  private:
+    friend class HttpServer;
+    LoopExecutor &Loop;
+    Endpoint Address;
+    HttpHandler Handler;
+    size_t MaxBodyBytes = 1 << 20;
+    absl::Duration RequestTimeout = absl::Seconds(10);
+  };
+
+  ~HttpServer();
+
+  /// The bound address with the real port.
+  Endpoint address() const;
+
+  /// Closes the listening socket and asks clients to close idle connections.
+  /// Requests in progress are still answered.
+  void stopAccepting();
+
+  /// Requests that were received and not answered yet.
+  size_t requestsInProgress() const;
+
+  class Impl;
+
+private:
+  explicit HttpServer(std::unique_ptr<Impl> Implementation);
+
+  std::unique_ptr<Impl> Implementation;
+};
+
+} // namespace vanillayard
+
+#endif
