Add the worker model and a fake WorkerClient

Change: WorkerModel holds slots, connections, accelerators and leases without sockets. FakeWorkerFleet owns models with faults, death, restart and freezing; FakeWorkers is the WorkerClient of one host over a fleet, with latency and cut links. The execution log of a model survives restarts for use by oracles.

--- /dev/null
+++ b/libs/endpoint/src/testing/FakeWorkers.cpp
@@ -0,0 +1,258 @@
+#include "endpoint/testing/FakeWorkers.h"
+
+#include "base/ErrorKind.h"
+
+#include <type_traits>
+#include <utility>
+
+namespace vanillayard {
+
+template <typename T> struct FakeWorkers::Call {
+  Endpoint Worker;
+  Act<T> Work;
+  Callback<T> Done;
+  uint64_t Id = 0;
+  Executor::TimerId Timer = 0;
+  bool Finished = false;
+};
+
+FakeWorkers::FakeWorkers(Executor &Exec, FakeWorkerFleet &Fleet)
+    : Exec(Exec), Fleet(Fleet), Alive(std::make_shared<FakeWorkers *>(this)) {}
+
+FakeWorkers::~FakeWorkers() = default;
+
+void FakeWorkers::setLinkCut(const Endpoint &Worker, bool Cut) {
+  if (Cut)
+    this->CutLinks.insert(Worker);
+  else
+    this->CutLinks.erase(Worker);
+}
+
+bool FakeWorkers::isCut(const Endpoint &Worker) const {
+  return this->AllCut || this->CutLinks.contains(Worker);
+}
+
+/// Wraps work of a client so that it does nothing once the client is gone.
+template <typename Work>
+static std::function<void()> whileAlive(const std::shared_ptr<FakeWorkers *> &A,
+                                        Work Then) {
+  return [Weak = std::weak_ptr<FakeWorkers *>(A), Then = std::move(Then)] {
+    if (Weak.lock())
+      Then();
+  };
+}
+
+template <typename T>
+void FakeWorkers::call(const Endpoint &Worker, absl::Duration Timeout,
+                       Act<T> Work, Callback<T> Done) {
+  auto State = std::make_shared<Call<T>>();
+  State->Worker = Worker;
+  State->Work = std::move(Work);
+  State->Done = std::move(Done);
+  State->Id = this->Fleet.NextCall++;
+  State->Timer = this->Exec.runAfter(
+      Timeout, whileAlive(this->Alive, [this, State] {
+        this->finish<T>(
+            State, makeError(ErrorKind::OutcomeUnknown, "no answer in time"));
+      }));
+  this->Exec.runAfter(this->Latency, whileAlive(this->Alive, [this, State] {
+                        this->deliver<T>(State);
+                      }));
+}
+
+template <typename T>
+void FakeWorkers::deliver(std::shared_ptr<Call<T>> State) {
+  if (State->Finished || this->isCut(State->Worker))
+    return;
+  if (!this->Fleet.isAlive(State->Worker))
+    return this->finish<T>(
+        State, makeError(ErrorKind::NoCapacity, "connection refused"));
+  FakeWorkerFleet::Worker &Target = this->Fleet.worker(State->Worker);
+  Target.OnDeath[State->Id] = whileAlive(this->Alive, [this, State] {
+    this->finish<T>(State,
+                    makeError(ErrorKind::OutcomeUnknown, "connection reset"));
+  });
+  auto Work =
+      whileAlive(this->Alive, [this, State] { this->carryOut<T>(State); });
+  if (Target.Faults.Frozen)
+    Target.Waiting.push_back(std::move(Work));
+  else
+    Work();
+}
+
+template <typename T>
+void FakeWorkers::carryOut(std::shared_ptr<Call<T>> State) {
+  if (!this->Fleet.isAlive(State->Worker))
+    return;
+  std::weak_ptr<FakeWorkers *> Weak = this->Alive;
+  State->Work(this->Fleet.model(State->Worker),
+              [this, Weak, State](absl::StatusOr<T> Answer) {
+                if (Weak.lock())
+                  this->answer<T>(State, std::move(Answer));
+              });
+}
+
+template <typename T>
+void FakeWorkers::answer(std::shared_ptr<Call<T>> State,
+                         absl::StatusOr<T> Answer) {
+  WorkerFaults &Faults = this->Fleet.faults(State->Worker);
+  if (WorkerFaults::consume(Faults.LoseAnswers))
+    return;
+  if (std::is_same_v<T, TaskResult> && Answer.ok() &&
+      WorkerFaults::consume(Faults.CrossAnswers))
+    Answer = makeError(ErrorKind::AnswerMismatch, "answer of another lease");
+  else if (WorkerFaults::consume(Faults.TruncateAnswers))
+    Answer = makeError(ErrorKind::AnswerTruncated, "the answer is cut short");
+  auto Arrive = [this, State, Answer = std::move(Answer)] {
+    // A dead worker's calls were ended by its death.
+    if (!this->isCut(State->Worker))
+      this->finish<T>(State, Answer);
+  };
+  this->Exec.runAfter(Faults.AnswerDelay + this->Latency,
+                      whileAlive(this->Alive, std::move(Arrive)));
+}
+
+template <typename T>
+void FakeWorkers::finish(const std::shared_ptr<Call<T>> &State,
+                         absl::StatusOr<T> Answer) {
+  if (std::exchange(State->Finished, true))
+    return;
+  this->Exec.cancel(State->Timer);
+  if (this->Fleet.exists(State->Worker))
+    this->Fleet.worker(State->Worker).OnDeath.erase(State->Id);
+  Callback<T> Done = std::move(State->Done);
+  State->Done = nullptr;
+  Done(std::move(Answer));
+}
+
+void FakeWorkers::status(const Endpoint &Worker, Callback<WorkerStatus> Done) {
+  this->call<WorkerStatus>(
+      Worker, ControlTimeout,
+      [](WorkerModel &Model, const Callback<WorkerStatus> &Answer) {
+        Answer(Model.status());
+      },
+      std::move(Done));
+}
+
+void FakeWorkers::acquire(const Endpoint &Worker, const LeaseRequest &Request,
+                          Callback<LeaseReport> Done) {
+  this->call<LeaseReport>(
+      Worker, ControlTimeout,
+      [Request](WorkerModel &Model, const Callback<LeaseReport> &Answer) {
+        Answer(Model.acquire(Request));
+      },
+      std::move(Done));
+}
+
+void FakeWorkers::renew(const Endpoint &Worker,
+                        const std::vector<LeaseId> &Leases, const Epoch &Holder,
+                        absl::Duration Ttl, Callback<RenewResult> Done) {
+  this->call<RenewResult>(
+      Worker, ControlTimeout,
+      [Leases, Holder, Ttl](WorkerModel &Model,
+                            const Callback<RenewResult> &Answer) {
+        Answer(Model.renew(Leases, Holder, Ttl));
+      },
+      std::move(Done));
+}
+
+void FakeWorkers::start(const Endpoint &Worker, const LeaseId &Lease,
+                        const Epoch &Holder, std::string Body,
+                        Callback<LeaseReport> Done) {
+  this->call<LeaseReport>(
+      Worker, ControlTimeout,
+      [Lease, Holder, Body = std::move(Body)](
+          WorkerModel &Model, const Callback<LeaseReport> &Answer) {
+        Answer(Model.start(Lease, Holder, Body));
+      },
+      std::move(Done));
+}
+
+void FakeWorkers::startAndWait(const Endpoint &Worker, const LeaseId &Lease,
+                               const Epoch &Holder, std::string Body,
+                               absl::Duration Timeout,
+                               Callback<TaskResult> Done) {
+  this->call<TaskResult>(
+      Worker, Timeout,
+      [Lease, Holder, Body = std::move(Body)](WorkerModel &Model,
+                                              Callback<TaskResult> Answer) {
+        Model.startAndWait(Lease, Holder, Body, std::move(Answer));
+      },
+      std::move(Done));
+}
+
+void FakeWorkers::run(const Endpoint &Worker, const LeaseRequest &Request,
+                      std::string Body, absl::Duration Timeout,
+                      Callback<TaskResult> Done) {
+  this->call<TaskResult>(
+      Worker, Timeout,
+      [Request, Body = std::move(Body)](WorkerModel &Model,
+                                        Callback<TaskResult> Answer) {
+        Model.run(Request, Body, std::move(Answer));
+      },
+      std::move(Done));
+}
+
+void FakeWorkers::query(const Endpoint &Worker, const LeaseId &Lease,
+                        Callback<TaskResult> Done) {
+  this->call<TaskResult>(
+      Worker, ControlTimeout,
+      [Lease](WorkerModel &Model, const Callback<TaskResult> &Answer) {
+        Answer(Model.query(Lease));
+      },
+      std::move(Done));
+}
+
+void FakeWorkers::revoke(const Endpoint &Worker, const LeaseId &Lease,
+                         Callback<RevokeResult> Done) {
+  this->call<RevokeResult>(
+      Worker, ControlTimeout,
+      [Lease](WorkerModel &Model, const Callback<RevokeResult> &Answer) {
+        Answer(Model.revoke(Lease));
+      },
+      std::move(Done));
+}
+
+void FakeWorkers::stop(const Endpoint &Worker, const LeaseId &Lease,
+                       const Epoch &Holder, Callback<LeaseReport> Done) {
+  this->call<LeaseReport>(
+      Worker, ControlTimeout,
+      [Lease, Holder](WorkerModel &Model, const Callback<LeaseReport> &Answer) {
+        Answer(Model.stop(Lease, Holder));
+      },
+      std::move(Done));
+}
+
+void FakeWorkers::checkpoint(const Endpoint &Worker, const LeaseId &Lease,
+                             const Epoch &Holder, Callback<LeaseReport> Done) {
+  this->call<LeaseReport>(
+      Worker, ControlTimeout,
+      [Lease, Holder](WorkerModel &Model, const Callback<LeaseReport> &Answer) {
+        Answer(Model.checkpoint(Lease, Holder));
+      },
+      std::move(Done));
+}
+
+void FakeWorkers::throttle(const Endpoint &Worker, const LeaseId &Lease,
+                           const Epoch &Holder, double Share,
+                           Callback<LeaseReport> Done) {
+  this->call<LeaseReport>(
+      Worker, ControlTimeout,
+      [Lease, Holder, Share](WorkerModel &Model,
+                             const Callback<LeaseReport> &Answer) {
+        Answer(Model.throttle(Lease, Holder, Share));
+      },
+      std::move(Done));
+}
+
+void FakeWorkers::release(const Endpoint &Worker, const LeaseId &Lease,
+                          Callback<LeaseReport> Done) {
+  this->call<LeaseReport>(
+      Worker, ControlTimeout,
+      [Lease](WorkerModel &Model, const Callback<LeaseReport> &Answer) {
+        Answer(Model.release(Lease));
+      },
+      std::move(Done));
+}
+
+} // namespace vanillayard
--- /dev/null
+++ b/standins/worker/include/standin_worker/ExecutionRecord.h
@@ -0,0 +1,33 @@
+#ifndef VANILLAYARD_STANDIN_WORKER_EXECUTIONRECORD_H
+#define VANILLAYARD_STANDIN_WORKER_EXECUTIONRECORD_H
+
+#include "endpoint/WorkerTypes.h"
+
+#include "absl/time/time.h"
+
+#include <string>
+
+namespace vanillayard {
+
+/// One run of a task on a worker, as kept for the oracles of tests.
+struct ExecutionRecord {
+  std::string Owner;
+  LeaseId Lease;
+  WorkerId Worker;
+  std::string Incarnation;
+  ClientAccountId Account;
+  KindId Kind;
+  std::vector<int> Accelerators;
+  int Member = 0;
+  int GangSize = 1;
+  std::string BodyDigest;
+  absl::Time Started;
+  /// InfiniteFuture while the task runs.
+  absl::Time Ended = absl::InfiniteFuture();
+  /// Running, or how the task ended. Unknown if the worker died under it.
+  LeaseState State = LeaseState::Running;
+};
+
+} // namespace vanillayard
+
+#endif
--- /dev/null
+++ b/standins/worker/src/WorkerModel.cpp
@@ -0,0 +1,303 @@
+#include "standin_worker/WorkerModel.h"
+
+#include "WorkerLease.h"
+#include "base/AbslView.h"
+#include "base/ErrorKind.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace vanillayard {
+
+using Builder = WorkerModel::Builder;
+
+Builder &Builder::name(WorkerId Value) {
+  this->Name = std::move(Value);
+  return *this;
+}
+
+Builder &Builder::rack(RackId Value) {
+  this->Rack = std::move(Value);
+  return *this;
+}
+
+Builder &Builder::slots(int Value) {
+  this->Slots = Value;
+  return *this;
+}
+
+Builder &Builder::connections(int Value) {
+  this->Connections = Value;
+  return *this;
+}
+
+Builder &Builder::accelerators(int Value) {
+  this->Accelerators = Value;
+  return *this;
+}
+
+Builder &Builder::defaultRunTime(absl::Duration Value) {
+  this->DefaultRunTime = Value;
+  return *this;
+}
+
+Builder &Builder::checkpointTime(absl::Duration Value) {
+  this->CheckpointTime = Value;
+  return *this;
+}
+
+Builder &Builder::usageLag(absl::Duration Value) {
+  this->UsageLag = Value;
+  return *this;
+}
+
+Builder &Builder::incarnation(std::string Value) {
+  this->Incarnation = std::move(Value);
+  return *this;
+}
+
+absl::StatusOr<std::unique_ptr<WorkerModel>> Builder::build() const {
+  if (this->Name.empty())
+    return absl::InvalidArgumentError("a worker needs a name");
+  if (this->Slots < 0 || this->Connections < 0 || this->Accelerators < 0)
+    return absl::InvalidArgumentError("a worker's sizes must not be negative");
+  return std::unique_ptr<WorkerModel>(new WorkerModel(*this));
+}
+
+WorkerModel::WorkerModel(const Builder &Options)
+    : Options(Options), Exec(*Options.Exec),
+      Incarnation(Options.Incarnation.empty() ? Options.Name.str()
+                                              : Options.Incarnation) {}
+
+WorkerModel::~WorkerModel() {
+  this->restart();
+}
+
+WorkerModel::Lease *WorkerModel::find(const LeaseId &Id) const {
+  auto Found = this->Leases.find(Id);
+  return Found == this->Leases.end() ? nullptr : Found->second.get();
+}
+
+int WorkerModel::freeSlots() const {
+  int Free = this->Options.Slots;
+  for (const auto &[Id, Held] : this->Leases)
+    if (Held->isActive())
+      Free -= Held->Report.Slots;
+  return Free;
+}
+
+int WorkerModel::waitingCalls() const {
+  size_t Count = 0;
+  for (const auto &[Id, Held] : this->Leases)
+    Count += Held->Waiters.size();
+  return static_cast<int>(Count);
+}
+
+LeaseReport WorkerModel::report(const Lease &Held) const {
+  LeaseReport Report = Held.Report;
+  if (Report.State == LeaseState::Running)
+    Report.RunTime = this->Exec.now() - Held.StartedAt;
+  else if (Report.State != LeaseState::Held)
+    Report.RunTime = Held.EndedAt - Held.StartedAt;
+  return Report;
+}
+
+LeaseReport WorkerModel::reportGone(const LeaseId &Id) const {
+  LeaseReport Report;
+  Report.Lease = Id;
+  auto Found = this->Tombstones.find(Id);
+  if (Found != this->Tombstones.end())
+    Report.State = Found->second.State;
+  return Report;
+}
+
+WorkerStatus WorkerModel::status() const {
+  WorkerStatus Status;
+  Status.Worker = this->Options.Name;
+  Status.Rack = this->Options.Rack;
+  Status.Incarnation = this->Incarnation;
+  Status.Draining = this->Draining;
+  Status.Slots = this->Options.Slots;
+  Status.FreeSlots = this->freeSlots();
+  Status.Connections = this->Options.Connections;
+  Status.FreeConnections = this->Options.Connections - this->waitingCalls();
+  Status.Accelerators = this->Options.Accelerators;
+  // Ended leases of run() belong to nobody who could recover their result.
+  for (const auto &[Id, Held] : this->Leases)
+    if (Held->isActive() || !Held->FromRun)
+      Status.Leases.push_back(this->report(*Held));
+  Status.Usage = this->laggedUsage();
+  Status.UsageLag = this->Options.UsageLag;
+  return Status;
+}
+
+std::string WorkerModel::version() const {
+  absl::Time Visible = this->Exec.now() - this->Options.UsageLag;
+  auto Pending =
+      std::count_if(this->Samples.begin(), this->Samples.end(),
+                    [&](const UsageSample &S) { return S.At > Visible; });
+  return fmt::format("{}-{}-{}", this->Incarnation, this->Changes, Pending);
+}
+
+void WorkerModel::changed() {
+  ++this->Changes;
+  absl::Time Now = this->Exec.now();
+  absl::Time Visible = Now - this->Options.UsageLag;
+  while (this->Samples.size() > 1 && this->Samples[1].At <= Visible)
+    this->Samples.pop_front();
+  double Used = this->Options.Slots - this->freeSlots();
+  double Share = this->Options.Slots > 0 ? Used / this->Options.Slots : 0;
+  this->Samples.push_back({Now, Share});
+}
+
+double WorkerModel::laggedUsage() const {
+  absl::Time Visible = this->Exec.now() - this->Options.UsageLag;
+  double Share = 0;
+  for (const UsageSample &Sample : this->Samples)
+    if (Sample.At <= Visible)
+      Share = Sample.Share;
+  return Share;
+}
+
+void WorkerModel::setDraining(bool Value) {
+  this->Draining = Value;
+  this->changed();
+}
+
+void WorkerModel::restart() {
+  for (auto &[Id, Held] : this->Leases) {
+    this->Exec.cancel(Held->ExpiryTimer);
+    this->Exec.cancel(Held->EndTimer);
+    this->Exec.cancel(Held->CheckpointTimer);
+    if (Held->Report.State != LeaseState::Running)
+      continue;
+    this->Log[Held->LogIndex].Ended = this->Exec.now();
+    this->Log[Held->LogIndex].State = LeaseState::Unknown;
+  }
+  this->Leases.clear();
+  this->Tombstones.clear();
+  this->TombstoneOrder.clear();
+  std::string First = this->Options.Incarnation.empty()
+                          ? this->Options.Name.str()
+                          : this->Options.Incarnation;
+  this->Incarnation = fmt::format("{}.{}", First, ++this->Restarts);
+  this->Draining = false;
+  this->changed();
+}
+
+void WorkerModel::bury(const LeaseId &Id, LeaseState State,
+                       RevokeResult RevokeAnswer) {
+  this->dropExpiredTombstones();
+  if (Lease *Held = this->find(Id)) {
+    this->Exec.cancel(Held->ExpiryTimer);
+    this->Exec.cancel(Held->EndTimer);
+    this->Exec.cancel(Held->CheckpointTimer);
+    this->Leases.erase(Id);
+  }
+  this->Tombstones[Id] = Tombstone{State, RevokeAnswer};
+  this->TombstoneOrder.emplace_back(this->Exec.now(), Id);
+  this->changed();
+}
+
+void WorkerModel::dropExpiredTombstones() {
+  absl::Time Oldest = this->Exec.now() - TombstoneRetention;
+  while (!this->TombstoneOrder.empty() &&
+         this->TombstoneOrder.front().first < Oldest) {
+    this->Tombstones.erase(this->TombstoneOrder.front().second);
+    this->TombstoneOrder.pop_front();
+  }
+}
+
+absl::Status WorkerModel::checkEpoch(Lease &Held, const Epoch &Holder) {
+  if (Holder < Held.Report.Holder)
+    return makeError(ErrorKind::Conflict,
+                     "the lease is held under a higher epoch");
+  if (Held.Report.Holder != Holder)
+    ++this->Changes;
+  Held.Report.Holder = Holder;
+  return absl::OkStatus();
+}
+
+absl::Status WorkerModel::admit(const LeaseRequest &Request) const {
+  if (Request.Lease.empty() || Request.Slots < 0)
+    return makeError(ErrorKind::InvalidRequest, "bad lease id or slots");
+  if (this->Draining)
+    return makeError(ErrorKind::NoCapacity, "the worker is draining");
+  if (this->freeSlots() < Request.Slots)
+    return makeError(ErrorKind::NoCapacity, "no free slot");
+  for (int Index : Request.Accelerators) {
+    if (Index < 0 || Index >= this->Options.Accelerators ||
+        std::count(Request.Accelerators.begin(), Request.Accelerators.end(),
+                   Index) != 1)
+      return makeError(ErrorKind::InvalidRequest, "bad accelerator index");
+    for (const auto &[Id, Held] : this->Leases) {
+      const std::vector<int> &Used = Held->Report.Accelerators;
+      if (Held->isActive() &&
+          std::find(Used.begin(), Used.end(), Index) != Used.end())
+        return makeError(ErrorKind::NoCapacity, "an accelerator is in use");
+    }
+  }
+  return absl::OkStatus();
+}
+
+WorkerModel::Lease &WorkerModel::insert(const LeaseRequest &Request) {
+  auto New = std::make_unique<Lease>();
+  LeaseReport &Report = New->Report;
+  Report.Lease = Request.Lease;
+  Report.Owner = Request.Owner;
+  Report.Account = Request.Account;
+  Report.Kind = Request.Kind;
+  Report.Slots = Request.Slots;
+  Report.Accelerators = Request.Accelerators;
+  Report.Holder = Request.Holder;
+  Report.GangSize = Request.GangSize;
+  Report.Member = Request.Member;
+  Report.Reclaimable = Request.Reclaimable;
+  Report.State = LeaseState::Held;
+  Lease &Held = *New;
+  this->Leases[Request.Lease] = std::move(New);
+  this->armExpiry(Held, Request.Ttl);
+  this->changed();
+  return Held;
+}
+
+absl::StatusOr<LeaseReport> WorkerModel::existing(Lease &Found,
+                                                  const LeaseRequest &Again) {
+  if (Found.Report.Owner != Again.Owner)
+    return makeError(ErrorKind::Conflict, "the lease id has another owner");
+  if (absl::Status Fresh = this->checkEpoch(Found, Again.Holder); !Fresh.ok())
+    return Fresh;
+  if (Found.isActive())
+    this->armExpiry(Found, Again.Ttl);
+  return this->report(Found);
+}
+
+absl::StatusOr<LeaseReport> WorkerModel::acquire(const LeaseRequest &Request) {
+  if (this->Tombstones.contains(Request.Lease))
+    return makeError(ErrorKind::Conflict, "the lease was revoked or has ended");
+  if (Lease *Found = this->find(Request.Lease))
+    return this->existing(*Found, Request);
+  if (absl::Status Admitted = this->admit(Request); !Admitted.ok())
+    return Admitted;
+  return this->report(this->insert(Request));
+}
+
+RenewResult WorkerModel::renew(const std::vector<LeaseId> &Ids,
+                               const Epoch &Holder, absl::Duration Ttl) {
+  RenewResult Result;
+  for (const LeaseId &Id : Ids) {
+    Lease *Held = this->find(Id);
+    if (!Held || !this->checkEpoch(*Held, Holder).ok()) {
+      Result.Refused.push_back(Id);
+      continue;
+    }
+    if (Held->isActive())
+      this->armExpiry(*Held, Ttl);
+    Result.Renewed.push_back(Id);
+  }
+  Result.Status = this->status();
+  return Result;
+}
+
+} // namespace vanillayard
