Add fakes of the store and the host list

Cause: tests of configuration, jobs and requests need a store that fails on command on the virtual clock.

Change: FakeStore (one client of a shared FakeStoreData) with down, partition, slow calls, lost answers, stale reads, broken and silent watches; FakeHostDirectory with a lag; a contract test that every Store passes.

With the condition of a write taken out, BatchesAndWatchMatchAModel fails; with a lost answer that has no effect, LostAnswerLeavesTheWriteInPlace fails; with callbacks after the end of a watch, DestroyedWatchIsSilent fails. An earlier form of the last test passed without the mechanism, because no event was under way when the watch was destroyed; it now has one.

--- /dev/null
+++ b/libs/platform/tests/StoreContract.h
@@ -0,0 +1,47 @@
+#ifndef VANILLAYARD_PLATFORM_TESTS_STORECONTRACT_H
+#define VANILLAYARD_PLATFORM_TESTS_STORECONTRACT_H
+
+#include "platform/Store.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <memory>
+
+namespace vanillayard {
+
+/// A store under test with a way to make it fail.
+class StoreEnvironment {
+public:
+  virtual ~StoreEnvironment() = default;
+
+  virtual Store &store() = 0;
+  /// Runs the executor until \p Condition holds. \returns false if it does not
+  /// hold within a generous limit.
+  virtual bool waitFor(std::function<bool()> Condition) = 0;
+  virtual void setDown(bool Value) = 0;
+  /// The next write takes effect and its answer is lost.
+  virtual void loseNextAnswer() = 0;
+  virtual void breakWatches() = 0;
+};
+
+using StoreEnvironmentFactory =
+    std::function<std::unique_ptr<StoreEnvironment>()>;
+
+/// Tests that every implementation of Store passes.
+class StoreContractTest
+    : public testing::TestWithParam<StoreEnvironmentFactory> {
+protected:
+  void SetUp() override { this->Env = this->GetParam()(); }
+
+  absl::StatusOr<RangeResult> get(const std::string &Key);
+  absl::StatusOr<RangeResult> list(const std::string &Prefix);
+  absl::StatusOr<std::vector<WriteResult>>
+  write(std::vector<ConditionalWrite> Writes);
+
+  std::unique_ptr<StoreEnvironment> Env;
+};
+
+} // namespace vanillayard
+
+#endif
