Add the net library: loop executor, HTTP server and client, frames

Cause: every process needs sockets, timers and HTTP on one libuv loop. Change: LoopExecutor, HttpServer and H2oHttpClient on h2o, FramedLink on libuv. h2o does not read from a connection while a request is in progress, so the server polls for clients that have gone. Conclusion: adapters and the daemon can be built on these classes.

--- /dev/null
+++ b/libs/net/src/FramedLink.cpp
@@ -0,0 +1,276 @@
+#include "net/FramedLink.h"
+
+#include "Address.h"
+#include "net/LoopExecutor.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <arpa/inet.h>
+#include <cstring>
+#include <uv.h>
+
+namespace vanillayard {
+
+static constexpr size_t HeaderBytes = 4;
+static constexpr size_t ReadBufferBytes = 64 << 10;
+static constexpr int ListenBacklog = 128;
+
+static void closeTcp(uv_tcp_t *Handle) {
+  Handle->data = nullptr;
+  uv_close(reinterpret_cast<uv_handle_t *>(Handle), [](uv_handle_t *Closed) {
+    delete reinterpret_cast<uv_tcp_t *>(Closed);
+  });
+}
+
+static absl::Status uvError(const char *What, int Code) {
+  return absl::UnavailableError(
+      absl::StrCat(What, " failed: ", uv_strerror(Code)));
+}
+
+namespace {
+
+class TcpFramedLink final : public FramedLink {
+public:
+  explicit TcpFramedLink(uv_tcp_t *Handle);
+  ~TcpFramedLink() override;
+
+  void onEvents(MessageCallback Message, CloseCallback Closed) override;
+  absl::Status send(const std::string &Message) override;
+
+private:
+  struct Write {
+    uv_write_t Request;
+    std::string Bytes;
+  };
+
+  void received(std::string_view Bytes);
+  void fail(absl::Status Status);
+  bool deliverFrames();
+
+  uv_tcp_t *Handle;
+  std::string Input;
+  char ReadBuffer[ReadBufferBytes];
+  MessageCallback Message;
+  CloseCallback Closed;
+  /// Set to true by the destructor, which a callback may run.
+  bool *Destroyed = nullptr;
+};
+
+} // namespace
+
+TcpFramedLink::TcpFramedLink(uv_tcp_t *Handle) : Handle(Handle) {
+  Handle->data = this;
+  uv_tcp_nodelay(Handle, 1);
+}
+
+TcpFramedLink::~TcpFramedLink() {
+  if (this->Destroyed)
+    *this->Destroyed = true;
+  if (this->Handle)
+    closeTcp(this->Handle);
+}
+
+void TcpFramedLink::onEvents(MessageCallback Message, CloseCallback Closed) {
+  this->Message = std::move(Message);
+  this->Closed = std::move(Closed);
+  if (!this->Handle)
+    return;
+  uv_read_start(
+      reinterpret_cast<uv_stream_t *>(this->Handle),
+      [](uv_handle_t *H, size_t, uv_buf_t *Buffer) {
+        auto *Link = static_cast<TcpFramedLink *>(H->data);
+        *Buffer = Link ? uv_buf_init(Link->ReadBuffer, ReadBufferBytes)
+                       : uv_buf_init(nullptr, 0);
+      },
+      [](uv_stream_t *Stream, ssize_t Size, const uv_buf_t *Buffer) {
+        auto *Link = static_cast<TcpFramedLink *>(Stream->data);
+        if (!Link || Size == 0)
+          return;
+        if (Size < 0)
+          Link->fail(uvError("read", static_cast<int>(Size)));
+        else
+          Link->received({Buffer->base, static_cast<size_t>(Size)});
+      });
+}
+
+absl::Status TcpFramedLink::send(const std::string &Message) {
+  if (!this->Handle)
+    return absl::UnavailableError("the link is closed");
+  if (Message.size() > MaxFrameBytes)
+    return absl::InvalidArgumentError("the message is too long");
+  auto *Stream = reinterpret_cast<uv_stream_t *>(this->Handle);
+  if (uv_stream_get_write_queue_size(Stream) + Message.size() > MaxQueuedBytes)
+    return absl::ResourceExhaustedError("the peer does not read");
+  auto *W = new Write;
+  uint32_t Length = htonl(static_cast<uint32_t>(Message.size()));
+  W->Bytes.reserve(HeaderBytes + Message.size());
+  W->Bytes.append(reinterpret_cast<const char *>(&Length), HeaderBytes);
+  W->Bytes.append(Message);
+  W->Request.data = W;
+  uv_buf_t Buffer = uv_buf_init(W->Bytes.data(), W->Bytes.size());
+  int Code = uv_write(&W->Request, Stream, &Buffer, 1, [](uv_write_t *R, int) {
+    delete static_cast<Write *>(R->data);
+  });
+  if (Code == 0)
+    return absl::OkStatus();
+  delete W;
+  return uvError("write", Code);
+}
+
+void TcpFramedLink::received(std::string_view Bytes) {
+  this->Input.append(Bytes);
+  bool WasDestroyed = false;
+  this->Destroyed = &WasDestroyed;
+  bool IsValid = this->deliverFrames();
+  if (WasDestroyed)
+    return;
+  this->Destroyed = nullptr;
+  if (!IsValid)
+    this->fail(absl::InvalidArgumentError("the peer sent a frame over "
+                                          "the limit"));
+}
+
+bool TcpFramedLink::deliverFrames() {
+  bool *WasDestroyed = this->Destroyed;
+  size_t Offset = 0;
+  while (this->Input.size() - Offset >= HeaderBytes) {
+    uint32_t Length = 0;
+    std::memcpy(&Length, this->Input.data() + Offset, HeaderBytes);
+    Length = ntohl(Length);
+    if (Length > MaxFrameBytes)
+      return false;
+    if (this->Input.size() - Offset - HeaderBytes < Length)
+      break;
+    std::string Frame = this->Input.substr(Offset + HeaderBytes, Length);
+    Offset += HeaderBytes + Length;
+    this->Message(std::move(Frame));
+    if (*WasDestroyed)
+      return true;
+  }
+  this->Input.erase(0, Offset);
+  return true;
+}
+
+void TcpFramedLink::fail(absl::Status Status) {
+  if (!this->Handle)
+    return;
+  closeTcp(this->Handle);
+  this->Handle = nullptr;
+  CloseCallback Callback = std::move(this->Closed);
+  if (Callback)
+    Callback(std::move(Status));
+}
+
+namespace {
+
+class TcpFramedListener final : public FramedListener {
+public:
+  using AcceptCallback = std::function<void(std::unique_ptr<FramedLink>)>;
+
+  TcpFramedListener(uv_tcp_t *Handle, AcceptCallback Accepted)
+      : Handle(Handle), Accepted(std::move(Accepted)) {
+    Handle->data = this;
+  }
+  ~TcpFramedListener() override { closeTcp(this->Handle); }
+
+  Endpoint address() const override {
+    sockaddr_in Name = {};
+    int Size = sizeof(Name);
+    uv_tcp_getsockname(this->Handle, reinterpret_cast<sockaddr *>(&Name),
+                       &Size);
+    return formatAddress(Name);
+  }
+
+  int listen() {
+    return uv_listen(reinterpret_cast<uv_stream_t *>(this->Handle),
+                     ListenBacklog, [](uv_stream_t *Stream, int Status) {
+                       auto *Self =
+                           static_cast<TcpFramedListener *>(Stream->data);
+                       if (Self && Status == 0)
+                         Self->accept();
+                     });
+  }
+
+private:
+  void accept() {
+    auto *Client = new uv_tcp_t;
+    uv_tcp_init(this->Handle->loop, Client);
+    if (uv_accept(reinterpret_cast<uv_stream_t *>(this->Handle),
+                  reinterpret_cast<uv_stream_t *>(Client)) != 0) {
+      closeTcp(Client);
+      return;
+    }
+    this->Accepted(std::make_unique<TcpFramedLink>(Client));
+  }
+
+  uv_tcp_t *Handle;
+  AcceptCallback Accepted;
+};
+
+struct PendingConnect {
+  uv_connect_t Request;
+  uv_tcp_t *Handle;
+  std::function<void(absl::StatusOr<std::unique_ptr<FramedLink>>)> Done;
+};
+
+} // namespace
+
+static void connectEnded(uv_connect_t *Request, int Status) {
+  std::unique_ptr<PendingConnect> Pending(
+      static_cast<PendingConnect *>(Request->data));
+  if (Status == 0) {
+    Pending->Done(std::make_unique<TcpFramedLink>(Pending->Handle));
+    return;
+  }
+  closeTcp(Pending->Handle);
+  Pending->Done(uvError("connect", Status));
+}
+
+void connectFramed(
+    LoopExecutor &Loop, const Endpoint &To,
+    std::function<void(absl::StatusOr<std::unique_ptr<FramedLink>>)> Done) {
+  absl::StatusOr<sockaddr_in> Address = parseAddress(To);
+  if (!Address.ok()) {
+    Loop.post(
+        [Done = std::move(Done), Status = Address.status()] { Done(Status); });
+    return;
+  }
+  auto Pending = std::make_unique<PendingConnect>();
+  Pending->Handle = new uv_tcp_t;
+  Pending->Done = std::move(Done);
+  Pending->Request.data = Pending.get();
+  uv_tcp_init(Loop.loop(), Pending->Handle);
+  int Code = uv_tcp_connect(&Pending->Request, Pending->Handle,
+                            reinterpret_cast<const sockaddr *>(&*Address),
+                            connectEnded);
+  if (Code == 0) {
+    // connectEnded() owns it now.
+    (void)Pending.release();
+    return;
+  }
+  closeTcp(Pending->Handle);
+  Loop.post([Done = std::move(Pending->Done), Code] {
+    Done(uvError("connect", Code));
+  });
+}
+
+absl::StatusOr<std::unique_ptr<FramedListener>>
+listenFramed(LoopExecutor &Loop, const Endpoint &Address,
+             std::function<void(std::unique_ptr<FramedLink>)> Accepted) {
+  absl::StatusOr<sockaddr_in> Parsed = parseAddress(Address);
+  if (!Parsed.ok())
+    return Parsed.status();
+  auto *Handle = new uv_tcp_t;
+  uv_tcp_init(Loop.loop(), Handle);
+  auto Listener =
+      std::make_unique<TcpFramedListener>(Handle, std::move(Accepted));
+  int Code =
+      uv_tcp_bind(Handle, reinterpret_cast<const sockaddr *>(&*Parsed), 0);
+  if (Code == 0)
+    Code = Listener->listen();
+  if (Code != 0)
+    return uvError("listen", Code);
+  return Listener;
+}
+
+} // namespace vanillayard
--- /dev/null
+++ b/libs/net/src/H2oHttpClient.cpp
@@ -0,0 +1,287 @@
+#include "net/H2oHttpClient.h"
+
+#include "Address.h"
+#include "base/ErrorKind.h"
+#include "net/LoopExecutor.h"
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/strings/str_cat.h"
+
+#include <h2o.h>
+
+namespace vanillayard {
+
+static constexpr size_t MaxAnswerBytes = 16 << 20;
+static constexpr size_t PoolCapacity = 256;
+/// Shorter than the servers' idle timeout (10 s), so that a pooled connection
+/// is seldom closed by the server just as it is reused.
+static constexpr uint64_t PoolIdleMs = 4000;
+/// Limit between two pieces of an answer; calls have a shorter one of their
+/// own, but a watch may be silent for long.
+static constexpr uint64_t IoTimeoutMs = 3600000;
+
+namespace {
+
+struct Call {
+  H2oHttpClient::Impl *Owner = nullptr;
+  HttpClient::CallId Id = 0;
+  h2o_http1client_t *Client = nullptr;
+  std::string RequestText;
+  h2o_iovec_t RequestBuffer = {};
+  bool IsConnected = false;
+  /// h2o has ended the call, or it was cancelled.
+  bool IsOver = false;
+  HttpResponse Response;
+  Executor::TimerId Timer = 0;
+  HttpClient::ResponseCallback Done;
+  HttpClient::ChunkCallback Chunk;
+  HttpClient::EndCallback Ended;
+};
+
+} // namespace
+
+class H2oHttpClient::Impl {
+public:
+  explicit Impl(LoopExecutor &Loop);
+
+  CallId begin(const Endpoint &To, const HttpRequest &Request,
+               std::shared_ptr<Call> NewCall);
+  void cancel(CallId Id);
+  void finish(Call &C, absl::Status Status);
+  void timedOut(CallId Id);
+  h2o_socketpool_t *poolFor(const Endpoint &To);
+
+  static h2o_http1client_head_cb
+  onConnect(h2o_http1client_t *Client, const char *Error, h2o_iovec_t **Buffers,
+            size_t *BufferCount, int *MethodIsHead);
+  static h2o_http1client_body_cb onHead(h2o_http1client_t *Client,
+                                        const char *Error, int MinorVersion,
+                                        int Status, h2o_iovec_t Message,
+                                        h2o_header_t *Headers,
+                                        size_t HeaderCount, int RawLength);
+  static int onBody(h2o_http1client_t *Client, const char *Error);
+
+  LoopExecutor &Loop;
+  h2o_http1client_ctx_t Context = {};
+  h2o_timeout_t IoTimeout = {};
+  h2o_multithread_queue_t *Queue = nullptr;
+  h2o_multithread_receiver_t AddressReceiver = {};
+  absl::flat_hash_map<Endpoint, std::unique_ptr<h2o_socketpool_t>> Pools;
+  absl::flat_hash_map<CallId, std::shared_ptr<Call>> Calls;
+  CallId NextCall = 1;
+};
+
+H2oHttpClient::Impl::Impl(LoopExecutor &Loop) : Loop(Loop) {
+  h2o_timeout_init(Loop.loop(), &this->IoTimeout, IoTimeoutMs);
+  this->Queue = h2o_multithread_create_queue(Loop.loop());
+  h2o_multithread_register_receiver(this->Queue, &this->AddressReceiver,
+                                    h2o_hostinfo_getaddr_receiver);
+  this->Context.loop = Loop.loop();
+  this->Context.getaddr_receiver = &this->AddressReceiver;
+  this->Context.io_timeout = &this->IoTimeout;
+}
+
+h2o_socketpool_t *H2oHttpClient::Impl::poolFor(const Endpoint &To) {
+  std::unique_ptr<h2o_socketpool_t> &Slot = this->Pools[To];
+  if (Slot)
+    return Slot.get();
+  absl::StatusOr<sockaddr_in> Address = parseAddress(To);
+  if (!Address.ok())
+    return nullptr;
+  Slot = std::make_unique<h2o_socketpool_t>();
+  h2o_socketpool_init_by_address(Slot.get(),
+                                 reinterpret_cast<sockaddr *>(&*Address),
+                                 sizeof(*Address), 0, PoolCapacity);
+  h2o_socketpool_set_timeout(Slot.get(), this->Loop.loop(), PoolIdleMs);
+  return Slot.get();
+}
+
+static std::string requestText(const Endpoint &To, const HttpRequest &Request) {
+  std::string Text = absl::StrCat(
+      Request.Method, " ", Request.Path, Request.Query.empty() ? "" : "?",
+      Request.Query, " HTTP/1.1\r\nhost: ", To.str(), "\r\n");
+  for (const auto &[Name, Value] : Request.Headers.fields())
+    absl::StrAppend(&Text, Name, ": ", Value, "\r\n");
+  if (!Request.Body.empty() || Request.Method != "GET")
+    absl::StrAppend(&Text, "content-length: ", Request.Body.size(), "\r\n");
+  absl::StrAppend(&Text, "\r\n", Request.Body);
+  return Text;
+}
+
+HttpClient::CallId H2oHttpClient::Impl::begin(const Endpoint &To,
+                                              const HttpRequest &Request,
+                                              std::shared_ptr<Call> NewCall) {
+  Call &C = *NewCall;
+  C.Owner = this;
+  C.Id = this->NextCall++;
+  C.RequestText = requestText(To, Request);
+  C.RequestBuffer = h2o_iovec_init(C.RequestText.data(), C.RequestText.size());
+  this->Calls.emplace(C.Id, std::move(NewCall));
+  h2o_socketpool_t *Pool = this->poolFor(To);
+  if (!Pool) {
+    this->finish(C, makeError(ErrorKind::NoCapacity,
+                              absl::StrCat("bad address ", To.str())));
+    return C.Id;
+  }
+  h2o_http1client_connect_with_pool(&C.Client, &C, &this->Context, Pool,
+                                    onConnect);
+  return C.Id;
+}
+
+/// Ends a call: its callback runs from the executor, unless it is cancelled
+/// before that.
+void H2oHttpClient::Impl::finish(Call &C, absl::Status Status) {
+  C.IsOver = true;
+  C.Client = nullptr;
+  if (C.Timer)
+    this->Loop.cancel(C.Timer);
+  this->Loop.post([this, Id = C.Id, Status = std::move(Status)] {
+    auto Found = this->Calls.find(Id);
+    if (Found == this->Calls.end())
+      return;
+    std::shared_ptr<Call> Ended = std::move(Found->second);
+    this->Calls.erase(Found);
+    if (Ended->Ended)
+      Ended->Ended(Status);
+    else if (Status.ok())
+      Ended->Done(std::move(Ended->Response));
+    else
+      Ended->Done(Status);
+  });
+}
+
+void H2oHttpClient::Impl::cancel(CallId Id) {
+  auto Found = this->Calls.find(Id);
+  if (Found == this->Calls.end())
+    return;
+  std::shared_ptr<Call> C = std::move(Found->second);
+  this->Calls.erase(Found);
+  if (C->Timer)
+    this->Loop.cancel(C->Timer);
+  if (!C->IsOver)
+    h2o_http1client_cancel(C->Client);
+  C->IsOver = true;
+}
+
+void H2oHttpClient::Impl::timedOut(CallId Id) {
+  auto Found = this->Calls.find(Id);
+  if (Found == this->Calls.end() || Found->second->IsOver)
+    return;
+  Call &C = *Found->second;
+  C.Timer = 0;
+  h2o_http1client_cancel(C.Client);
+  this->finish(C, makeError(C.IsConnected ? ErrorKind::OutcomeUnknown
+                                          : ErrorKind::NoCapacity,
+                            "no answer in time"));
+}
+
+h2o_http1client_head_cb
+H2oHttpClient::Impl::onConnect(h2o_http1client_t *Client, const char *Error,
+                               h2o_iovec_t **Buffers, size_t *BufferCount,
+                               int *MethodIsHead) {
+  auto *C = static_cast<Call *>(Client->data);
+  if (Error) {
+    C->Owner->finish(*C, makeError(ErrorKind::NoCapacity,
+                                   absl::StrCat("connect failed: ", Error)));
+    return nullptr;
+  }
+  C->IsConnected = true;
+  *Buffers = &C->RequestBuffer;
+  *BufferCount = 1;
+  *MethodIsHead = 0;
+  return onHead;
+}
+
+h2o_http1client_body_cb H2oHttpClient::Impl::onHead(h2o_http1client_t *Client,
+                                                    const char *Error, int,
+                                                    int Status, h2o_iovec_t,
+                                                    h2o_header_t *Headers,
+                                                    size_t HeaderCount, int) {
+  auto *C = static_cast<Call *>(Client->data);
+  if (Error && Error != h2o_http1client_error_is_eos) {
+    C->Owner->finish(*C, makeError(ErrorKind::OutcomeUnknown,
+                                   absl::StrCat("connection lost: ", Error)));
+    return nullptr;
+  }
+  C->Response.Status = Status;
+  for (size_t I = 0; I < HeaderCount; ++I)
+    C->Response.Headers.add(
+        std::string(Headers[I].name->base, Headers[I].name->len),
+        std::string(Headers[I].value.base, Headers[I].value.len));
+  if (!Error)
+    return onBody;
+  C->Owner->finish(*C, absl::OkStatus());
+  return nullptr;
+}
+
+int H2oHttpClient::Impl::onBody(h2o_http1client_t *Client, const char *Error) {
+  auto *C = static_cast<Call *>(Client->data);
+  Impl *Owner = C->Owner;
+  if (Error && Error != h2o_http1client_error_is_eos) {
+    Owner->finish(*C, makeError(ErrorKind::AnswerTruncated,
+                                absl::StrCat("answer cut short: ", Error)));
+    return -1;
+  }
+  h2o_buffer_t *&Input = Client->sock->input;
+  std::string Piece(Input->bytes, Input->size);
+  h2o_buffer_consume(&Input, Input->size);
+  if (C->Chunk && !Piece.empty())
+    Owner->Loop.post([Owner, Id = C->Id, Piece] {
+      auto Found = Owner->Calls.find(Id);
+      if (Found == Owner->Calls.end())
+        return;
+      std::shared_ptr<Call> Live = Found->second;
+      Live->Chunk(Piece);
+    });
+  else
+    C->Response.Body += Piece;
+  if (C->Response.Body.size() > MaxAnswerBytes) {
+    Owner->finish(*C, makeError(ErrorKind::AnswerTruncated,
+                                "the answer is over the size limit"));
+    return -1;
+  }
+  if (Error)
+    Owner->finish(*C, absl::OkStatus());
+  return 0;
+}
+
+H2oHttpClient::H2oHttpClient(LoopExecutor &Loop)
+    : Implementation(std::make_unique<Impl>(Loop)) {}
+
+H2oHttpClient::~H2oHttpClient() {
+  std::vector<CallId> Open;
+  for (const auto &Entry : this->Implementation->Calls)
+    Open.push_back(Entry.first);
+  for (CallId Id : Open)
+    this->Implementation->cancel(Id);
+  // h2o's pools keep timers in the loop, so the state stays allocated.
+  (void)this->Implementation.release();
+}
+
+HttpClient::CallId H2oHttpClient::send(const Endpoint &To, HttpRequest Request,
+                                       absl::Duration Timeout,
+                                       ResponseCallback Done) {
+  Impl *I = this->Implementation.get();
+  auto NewCall = std::make_shared<Call>();
+  NewCall->Done = std::move(Done);
+  CallId Id = I->begin(To, Request, NewCall);
+  if (!NewCall->IsOver)
+    NewCall->Timer = I->Loop.runAfter(Timeout, [I, Id] { I->timedOut(Id); });
+  return Id;
+}
+
+HttpClient::CallId H2oHttpClient::stream(const Endpoint &To,
+                                         HttpRequest Request,
+                                         ChunkCallback Chunk,
+                                         EndCallback Ended) {
+  auto NewCall = std::make_shared<Call>();
+  NewCall->Chunk = std::move(Chunk);
+  NewCall->Ended = std::move(Ended);
+  return this->Implementation->begin(To, Request, std::move(NewCall));
+}
+
+void H2oHttpClient::cancel(CallId Call) {
+  this->Implementation->cancel(Call);
+}
+
+} // namespace vanillayard
--- /dev/null
+++ b/libs/net/src/H2oResponder.h
@@ -0,0 +1,57 @@
+#ifndef VANILLAYARD_NET_SRC_H2ORESPONDER_H
+#define VANILLAYARD_NET_SRC_H2ORESPONDER_H
+
+#include "net/HttpResponder.h"
+
+#include <h2o.h>
+
+#include <deque>
+
+namespace vanillayard {
+
+/// HttpResponder on a request of h2o. The request may end before the answer;
+/// h2o then disposes the request's memory pool, which detaches the responder.
+class H2oResponder final : public HttpResponder,
+                           public std::enable_shared_from_this<H2oResponder> {
+public:
+  /// Makes a responder that is detached when h2o ends \p Request.
+  static std::shared_ptr<H2oResponder> attach(h2o_req_t *Request);
+
+  void respond(HttpResponse Response) override;
+  void beginStream(HttpResponse Head) override;
+  void write(std::string Chunk) override;
+  void end(bool Abort) override;
+  bool isClosed() const override { return this->Request == nullptr; }
+  void onClose(std::function<void()> Work) override;
+
+  /// Checks whether the client has closed its connection. h2o does not read
+  /// from a connection while a request is in progress, so it is polled.
+  void pollConnection();
+
+private:
+  struct Generator {
+    h2o_generator_t Base;
+    H2oResponder *Owner;
+  };
+
+  void detach();
+  void clientGone();
+  void setHead(const HttpResponse &Head);
+  void sendNext();
+
+  h2o_req_t *Request = nullptr;
+  bool IsAnswered = false;
+  bool IsStream = false;
+  bool IsSending = false;
+  bool IsEnding = false;
+  bool IsAborting = false;
+  bool IsClientGone = false;
+  Generator Stream = {};
+  std::deque<std::string> Chunks;
+  std::string Sending;
+  std::function<void()> CloseWork;
+};
+
+} // namespace vanillayard
+
+#endif
--- /dev/null
+++ b/libs/net/tests/HttpTest.cpp
@@ -0,0 +1,146 @@
+#include "base/ErrorKind.h"
+#include "net/FramedLink.h"
+#include "net/H2oHttpClient.h"
+#include "net/HttpServer.h"
+#include "net/LoopExecutor.h"
+
+#include <gtest/gtest.h>
+
+using namespace vanillayard;
+
+namespace {
+
+class HttpTest : public ::testing::Test {
+protected:
+  void serve(HttpHandler Handler) {
+    auto Built = HttpServer::Builder(this->Loop)
+                     .address(Endpoint("127.0.0.1:0"))
+                     .maxBodyBytes(1000)
+                     .handler(std::move(Handler))
+                     .build();
+    ASSERT_TRUE(Built.ok()) << Built.status();
+    this->Server = std::move(*Built);
+    this->Client = std::make_unique<H2oHttpClient>(this->Loop);
+  }
+
+  absl::StatusOr<HttpResponse> call(HttpRequest Request,
+                                    absl::Duration Timeout = absl::Seconds(5)) {
+    absl::StatusOr<HttpResponse> Result = absl::UnknownError("no callback");
+    this->Client->send(this->Server->address(), std::move(Request), Timeout,
+                       [&](absl::StatusOr<HttpResponse> Response) {
+                         Result = std::move(Response);
+                         this->Loop.stop();
+                       });
+    this->Loop.run();
+    return Result;
+  }
+
+  LoopExecutor Loop;
+  std::unique_ptr<HttpServer> Server;
+  std::unique_ptr<H2oHttpClient> Client;
+};
+
+} // namespace
+
+TEST_F(HttpTest, CarriesMethodPathQueryHeadersAndBody) {
+  this->serve([](HttpRequest Request, auto Responder) {
+    HttpResponse Response;
+    Response.Status = 202;
+    Response.Headers.add("X-Seen", std::string(Request.Headers.get("X-Sent")));
+    Response.Body = Request.Method + " " + Request.Path + " " +
+                    Request.queryValue("b") + " " + Request.Body;
+    Responder->respond(Response);
+  });
+  HttpRequest Request;
+  Request.Method = "POST";
+  Request.Path = "/v1/x";
+  Request.Query = "a=1&b=2";
+  Request.Headers.add("X-Sent", "yes");
+  Request.Body = "payload";
+  for (int I = 0; I < 3; ++I) {
+    auto Response = this->call(Request);
+    ASSERT_TRUE(Response.ok()) << Response.status();
+    EXPECT_EQ(Response->Status, 202);
+    EXPECT_EQ(Response->Headers.get("x-seen"), "yes");
+    EXPECT_EQ(Response->Body, "POST /v1/x 2 payload");
+  }
+}
+
+// Guards against a slow answer that blocks others or is taken for "not run".
+TEST_F(HttpTest, TimeoutAfterSendingMayHaveRun) {
+  std::shared_ptr<HttpResponder> Kept;
+  bool SawClose = false;
+  this->serve([&](HttpRequest, auto Responder) {
+    Responder->onClose([&] { SawClose = true; });
+    Kept = Responder;
+  });
+  auto Response = this->call({}, absl::Milliseconds(50));
+  EXPECT_EQ(errorKindOf(Response.status()), ErrorKind::OutcomeUnknown);
+  this->Loop.runAfter(absl::Seconds(1), [&] { this->Loop.stop(); });
+  this->Loop.run();
+  EXPECT_TRUE(SawClose);
+  Kept->respond({200, {}, "late"});
+}
+
+TEST_F(HttpTest, RefusedConnectionDidNotRun) {
+  this->serve([](HttpRequest, auto) {});
+  this->Server->stopAccepting();
+  absl::Status Status;
+  this->Client->send(Endpoint("127.0.0.1:1"), {}, absl::Seconds(5),
+                     [&](auto Response) {
+                       Status = Response.status();
+                       this->Loop.stop();
+                     });
+  this->Loop.run();
+  EXPECT_EQ(errorKindOf(Status), ErrorKind::NoCapacity);
+}
+
+TEST_F(HttpTest, OversizedBodyIsRefused) {
+  bool WasCalled = false;
+  this->serve([&](HttpRequest, auto) { WasCalled = true; });
+  HttpRequest Request;
+  Request.Method = "POST";
+  Request.Body.assign(2000, 'x');
+  auto Response = this->call(Request);
+  EXPECT_FALSE(WasCalled);
+  if (Response.ok()) {
+    EXPECT_EQ(Response->Status, 413);
+  }
+}
+
+// Guards against passing on the first part of an answer as the whole.
+TEST_F(HttpTest, AbortedAnswerIsTruncated) {
+  this->serve([](HttpRequest, auto Responder) {
+    Responder->beginStream({200, {}, ""});
+    Responder->write("first half");
+    Responder->end(/*Abort=*/true);
+  });
+  auto Response = this->call({});
+  EXPECT_FALSE(Response.ok());
+  EXPECT_FALSE(isProvablyNotRun(Response.status()));
+}
+
+TEST_F(HttpTest, StreamsChunksUntilTheEnd) {
+  std::shared_ptr<HttpResponder> Stream;
+  this->serve([&](HttpRequest, auto Responder) {
+    Stream = Responder;
+    Responder->beginStream({200, {}, ""});
+    Responder->write("one\n");
+  });
+  std::string Received;
+  this->Client->stream(
+      this->Server->address(), {},
+      [&](std::string_view Chunk) {
+        Received += Chunk;
+        if (Received == "one\n")
+          Stream->write("two\n");
+        else
+          Stream->end();
+      },
+      [&](absl::Status Status) {
+        EXPECT_TRUE(Status.ok()) << Status;
+        this->Loop.stop();
+      });
+  this->Loop.run();
+  EXPECT_EQ(Received, "one\ntwo\n");
+}
