--- a/standins/worker/include/standin_worker/WorkerModel.h
+++ b/standins/worker/include/standin_worker/WorkerModel.h
@@ -109,6 +109,7 @@
 
   /// A draining worker grants no new lease.
   void setDraining(bool Value);
+  bool isDraining() const { return this->Draining; }
   /// Every task that starts from now on fails at once.
   void setFailEverything(bool Value) { this->FailEverything = Value; }
   /// Ends all tasks, forgets leases and tombstones and drops all waiters.
--- a/standins/worker/src/WorkerModel.cpp
+++ b/standins/worker/src/WorkerModel.cpp
@@ -221,7 +221,7 @@
 
 absl::Status WorkerModel::admit(const LeaseRequest &Request) const {
   if (Request.Lease.empty() || Request.Slots < 0)
-    return makeError(ErrorKind::InvalidRequest, "bad lease id or slots");
+    return makeError(ErrorKind::NoCapacity, "bad lease id or slots");
   if (this->Draining)
     return makeError(ErrorKind::NoCapacity, "the worker is draining");
   if (this->freeSlots() < Request.Slots)
@@ -230,7 +230,7 @@
     if (Index < 0 || Index >= this->Options.Accelerators ||
         std::count(Request.Accelerators.begin(), Request.Accelerators.end(),
                    Index) != 1)
-      return makeError(ErrorKind::InvalidRequest, "bad accelerator index");
+      return makeError(ErrorKind::NoCapacity, "no such accelerator");
     for (const auto &[Id, Held] : this->Leases) {
       const std::vector<int> &Used = Held->Report.Accelerators;
       if (Held->isActive() &&
