Add the observe library

Cause: the daemon needs logs, metrics, a causal clock, a timeline and a rule for when an operator is told of a condition.

--- /dev/null
+++ b/libs/observe/include/observe/Log.h
@@ -0,0 +1,70 @@
+#ifndef VANILLAYARD_OBSERVE_LOG_H
+#define VANILLAYARD_OBSERVE_LOG_H
+
+#include "observe/LogField.h"
+#include "observe/LogLevel.h"
+#include "observe/RateLimiter.h"
+
+#include <functional>
+#include <initializer_list>
+#include <string_view>
+
+namespace vanillayard {
+
+class Executor;
+
+/// Writes structured lines, by default to standard error:
+///
+///   2026-01-02T03:04:05.000006Z info peer "host is dead" host=e3 silence=6s
+///
+/// Lines with equal component and message are one call site, which may write
+/// LinesPerWindow lines in each Window; the next line that is written carries
+/// the number of lines left out as suppressed=n.
+class Log {
+public:
+  using Sink = std::function<void(std::string_view Line)>;
+  using Fields = std::initializer_list<LogField>;
+
+  static constexpr int LinesPerWindow = 20;
+  static constexpr absl::Duration Window = absl::Seconds(10);
+
+  explicit Log(const Executor &Exec);
+  /// \param Output gets each line with its line feed.
+  Log(const Executor &Exec, Sink Output);
+
+  /// Lines below \p Level are not written. Default Info.
+  void setMinimum(LogLevel Level) { this->Minimum = Level; }
+  bool isEnabled(LogLevel Level) const { return Level >= this->Minimum; }
+
+  void debug(std::string_view Component, std::string_view Message,
+             Fields Pairs = {});
+  void info(std::string_view Component, std::string_view Message,
+            Fields Pairs = {});
+  void warning(std::string_view Component, std::string_view Message,
+               Fields Pairs = {});
+  void error(std::string_view Component, std::string_view Message,
+             Fields Pairs = {});
+
+  /// Writes a line that is limited together with all lines of \p RateKey.
+  void write(LogLevel Level, std::string_view Component,
+             std::string_view Message, Fields Pairs, std::string_view RateKey);
+
+  /// Reports lines that were left out and not followed by another one. To be
+  /// called now and then, and at exit.
+  void flushSuppressed();
+
+private:
+  void writeLimited(LogLevel Level, std::string_view Component,
+                    std::string_view Message, Fields Pairs);
+  void emit(LogLevel Level, std::string_view Component,
+            std::string_view Message, Fields Pairs, uint64_t Suppressed);
+
+  const Executor &Exec;
+  Sink Output;
+  LogLevel Minimum = LogLevel::Info;
+  RateLimiter Limiter;
+};
+
+} // namespace vanillayard
+
+#endif
--- /dev/null
+++ b/libs/observe/tests/AllocationCount.h
@@ -0,0 +1,9 @@
+#ifndef VANILLAYARD_OBSERVE_TESTS_ALLOCATIONCOUNT_H
+#define VANILLAYARD_OBSERVE_TESTS_ALLOCATIONCOUNT_H
+
+#include <cstddef>
+
+/// Number of calls of operator new in this program so far.
+size_t allocationCount();
+
+#endif
