--- a/libs/daemon/src/ProblemDetails.cpp
+++ b/libs/daemon/src/ProblemDetails.cpp
@@ -22,13 +22,13 @@
   absl::Duration RetryAfter = retryAfterOf(Status);
   if (RetryAfter > absl::ZeroDuration()) {
     Body["retry_after_ms"] = absl::ToInt64Milliseconds(RetryAfter);
-    auto Seconds = static_cast<int64_t>(
-        std::ceil(absl::ToDoubleSeconds(RetryAfter)));
+    auto Seconds =
+        static_cast<int64_t>(std::ceil(absl::ToDoubleSeconds(RetryAfter)));
     Response.Headers.add("Retry-After", std::to_string(Seconds));
   }
   // Details may quote a caller's bytes, which need not be valid UTF-8.
-  Response.Body = Body.dump(-1, ' ', false,
-                            nlohmann::json::error_handler_t::replace);
+  Response.Body =
+      Body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   return Response;
 }
 
