Add the placement library

Change: Topology, Occupancy, CellTable, GuaranteeLedger, ReclaimPlanner, AdmissionPlanner, CellPlacement with the baseline FirstFit, ReservationBackfill with the baseline StrictFifo, RunTimeCorrection and the fragmentation measure. A guaranteed cell in use is bound to accelerators as a whole until its last user ends; counting only unused parts breaks the invariant when scattered users end.

--- /dev/null
+++ b/libs/placement/include/placement/Occupancy.h
@@ -0,0 +1,106 @@
+#ifndef VANILLAYARD_PLACEMENT_OCCUPANCY_H
+#define VANILLAYARD_PLACEMENT_OCCUPANCY_H
+
+#include "placement/GangShape.h"
+#include "placement/Topology.h"
+
+#include "absl/time/time.h"
+
+#include <array>
+#include <span>
+#include <vector>
+
+namespace vanillayard {
+
+/// A job, or a lease of unknown purpose, that holds accelerators.
+struct Holder {
+  bool Used = false;
+  /// Index of the client account; -1 if unknown.
+  int Account = -1;
+  /// True if the work may be stopped to give a guarantee back.
+  bool Reclaimable = false;
+  absl::Time Started;
+  /// Accelerator-seconds that are lost if the work is stopped now.
+  double LostWork = 0;
+  GangPlacement Places;
+};
+
+/// Which holder has which accelerator, in flat arrays by worker index.
+class Occupancy {
+public:
+  explicit Occupancy(const Topology &Topo);
+
+  const Topology &topology() const { return *this->Topo; }
+
+  /// Adds a holder without places and returns its index. Indexes of removed
+  /// holders are used again.
+  int addHolder(int Account, bool Reclaimable, absl::Time Started);
+  /// Frees everything the holder has and the index.
+  void removeHolder(int Index);
+  const Holder &holder(int Index) const {
+    return this->Holders[static_cast<size_t>(Index)];
+  }
+  int holderCount() const { return static_cast<int>(this->Holders.size()); }
+  void setLostWork(int Index, double AcceleratorSeconds) {
+    this->Holders[static_cast<size_t>(Index)].LostWork = AcceleratorSeconds;
+  }
+
+  /// Gives free accelerators and one slot to a holder.
+  /// \returns false, without effect, if one of them is not free.
+  bool place(int Holder, const MemberPlace &Place);
+
+  /// Keeps accelerators for a job that waits for their holders to leave; they
+  /// are not free until unpromise().
+  void promise(const MemberPlace &Place);
+  void unpromise(const MemberPlace &Place);
+
+  /// A worker that is not available has no free accelerators.
+  void setAvailable(int Worker, bool Available);
+  bool isAvailable(int Worker) const {
+    return this->Workers[static_cast<size_t>(Worker)].Usable != 0;
+  }
+
+  /// Accelerators that a new member may use.
+  uint8_t freeMask(int Worker) const {
+    const State &S = this->Workers[static_cast<size_t>(Worker)];
+    return static_cast<uint8_t>(S.Usable & ~S.Held & ~S.Promised);
+  }
+  /// Accelerators held by work that cannot be reclaimed, or promised.
+  uint8_t fixedMask(int Worker) const {
+    const State &S = this->Workers[static_cast<size_t>(Worker)];
+    return static_cast<uint8_t>(S.Fixed | S.Promised);
+  }
+  uint8_t usableMask(int Worker) const {
+    return this->Workers[static_cast<size_t>(Worker)].Usable;
+  }
+  uint8_t heldMask(int Worker) const {
+    return this->Workers[static_cast<size_t>(Worker)].Held;
+  }
+  int freeSlots(int Worker) const {
+    return this->Workers[static_cast<size_t>(Worker)].FreeSlots;
+  }
+  /// \returns -1 if the accelerator is free.
+  int holderAt(int Worker, int Accelerator) const {
+    return this->Workers[static_cast<size_t>(Worker)]
+        .HolderAt[static_cast<size_t>(Accelerator)];
+  }
+
+private:
+  struct State {
+    uint8_t Usable = 0;
+    uint8_t Held = 0;
+    uint8_t Fixed = 0;
+    uint8_t Promised = 0;
+    int FreeSlots = 0;
+    std::array<int, 8> HolderAt{-1, -1, -1, -1, -1, -1, -1, -1};
+  };
+
+  const Topology *Topo;
+  std::vector<State> Workers;
+  std::vector<Holder> Holders;
+  std::vector<int> Unused;
+};
+
+} // namespace vanillayard
+
+#endif
--- /dev/null
+++ b/libs/placement/include/placement/StrictFifo.h
@@ -0,0 +1,24 @@
+#ifndef VANILLAYARD_PLACEMENT_STRICTFIFO_H
+#define VANILLAYARD_PLACEMENT_STRICTFIFO_H
+
+#include "placement/BackfillPolicy.h"
+
+namespace vanillayard {
+
+/// Baseline: nothing starts before a gang that waits ahead of it.
+class StrictFifo final : public BackfillPolicy {
+public:
+  void beginPass(const Occupancy &, absl::Time) override {}
+  std::span<const uint8_t> denied(const WaitingGang &) override { return {}; }
+  bool onBlocked(const Occupancy &, const WaitingGang &,
+                 std::span<const absl::Time>) override {
+    return false;
+  }
+  std::span<const int> keptFor(const WaitingGang &) const override {
+    return {};
+  }
+};
+
+} // namespace vanillayard
+
+#endif
--- /dev/null
+++ b/libs/placement/src/Occupancy.cpp
@@ -0,0 +1,75 @@
+#include "placement/Occupancy.h"
+
+#include <bit>
+
+namespace vanillayard {
+
+Occupancy::Occupancy(const Topology &Topo) : Topo(&Topo) {
+  this->Workers.resize(static_cast<size_t>(Topo.workerCount()));
+  for (int I = 0; I < Topo.workerCount(); ++I) {
+    this->Workers[static_cast<size_t>(I)].Usable = Topo.fullMask(I);
+    this->Workers[static_cast<size_t>(I)].FreeSlots = Topo.worker(I).Slots;
+  }
+}
+
+int Occupancy::addHolder(int Account, bool Reclaimable, absl::Time Started) {
+  if (this->Unused.empty()) {
+    this->Unused.push_back(static_cast<int>(this->Holders.size()));
+    this->Holders.emplace_back();
+  }
+  int Index = this->Unused.back();
+  this->Unused.pop_back();
+  Holder &H = this->Holders[static_cast<size_t>(Index)];
+  H.Used = true;
+  H.Account = Account;
+  H.Reclaimable = Reclaimable;
+  H.Started = Started;
+  H.LostWork = 0;
+  return Index;
+}
+
+void Occupancy::removeHolder(int Index) {
+  Holder &H = this->Holders[static_cast<size_t>(Index)];
+  for (const MemberPlace &Place : H.Places) {
+    State &S = this->Workers[static_cast<size_t>(Place.Worker)];
+    S.Held = static_cast<uint8_t>(S.Held & ~Place.Mask);
+    S.Fixed = static_cast<uint8_t>(S.Fixed & ~Place.Mask);
+    ++S.FreeSlots;
+    for (unsigned Bits = Place.Mask; Bits; Bits &= Bits - 1)
+      S.HolderAt[static_cast<size_t>(std::countr_zero(Bits))] = -1;
+  }
+  H.Places.clear();
+  H.Used = false;
+  this->Unused.push_back(Index);
+}
+
+bool Occupancy::place(int Index, const MemberPlace &Place) {
+  State &S = this->Workers[static_cast<size_t>(Place.Worker)];
+  if (S.Held & Place.Mask)
+    return false;
+  Holder &H = this->Holders[static_cast<size_t>(Index)];
+  S.Held |= Place.Mask;
+  if (!H.Reclaimable)
+    S.Fixed |= Place.Mask;
+  --S.FreeSlots;
+  for (unsigned Bits = Place.Mask; Bits; Bits &= Bits - 1)
+    S.HolderAt[static_cast<size_t>(std::countr_zero(Bits))] = Index;
+  H.Places.push_back(Place);
+  return true;
+}
+
+void Occupancy::promise(const MemberPlace &Place) {
+  this->Workers[static_cast<size_t>(Place.Worker)].Promised |= Place.Mask;
+}
+
+void Occupancy::unpromise(const MemberPlace &Place) {
+  State &S = this->Workers[static_cast<size_t>(Place.Worker)];
+  S.Promised = static_cast<uint8_t>(S.Promised & ~Place.Mask);
+}
+
+void Occupancy::setAvailable(int Worker, bool Available) {
+  this->Workers[static_cast<size_t>(Worker)].Usable =
+      Available ? this->Topo->fullMask(Worker) : 0;
+}
+
+} // namespace vanillayard
--- /dev/null
+++ b/libs/placement/tests/PlacementTest.cpp
@@ -0,0 +1,170 @@
+#include "SmallFleet.h"
+#include "placement/CellPlacement.h"
+#include "placement/CellTable.h"
+#include "placement/FirstFit.h"
+#include "placement/Fragmentation.h"
+#include "placement/Occupancy.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <bit>
+#include <cstdio>
+#include <map>
+#include <random>
+
+using namespace vanillayard;
+
+// Number of aligned cells of a power of two that are free, by looking at each.
+static int alignedCells(uint8_t Mask, int Size) {
+  int Count = 0;
+  for (int At = 0; At < 8; At += Size) {
+    unsigned Cell = ((1U << Size) - 1) << At;
+    Count += (Mask & Cell) == Cell ? 1 : 0;
+  }
+  return Count;
+}
+
+static bool fitsByCounting(const Occupancy &Held, const GangShape &Shape) {
+  const Topology &Topo = Held.topology();
+  int Rack = 0;
+  int All = 0;
+  for (int W = 0; W < Topo.workerCount(); ++W) {
+    Rack = W == Topo.rackBegin(Topo.rackOf(W)) ? 0 : Rack;
+    int Here =
+        std::min(alignedCells(Held.freeMask(W), Shape.AcceleratorsPerMember),
+                 Held.freeSlots(W));
+    Rack += Here;
+    All += Here;
+    int Area = Shape.Spread == Adjacency::Worker ? Here
+               : Shape.Spread == Adjacency::Rack ? Rack
+                                                 : All;
+    if (Area >= Shape.Members)
+      return true;
+  }
+  return false;
+}
+
+static void checkPlaces(const Occupancy &Held, const GangShape &Shape,
+                        const GangPlacement &Places) {
+  const Topology &Topo = Held.topology();
+  RC_ASSERT(static_cast<int>(Places.size()) == Shape.Members);
+  std::vector<uint8_t> Used(static_cast<size_t>(Topo.workerCount()));
+  for (const MemberPlace &P : Places) {
+    RC_ASSERT(std::popcount(P.Mask) == Shape.AcceleratorsPerMember);
+    RC_ASSERT((Held.freeMask(P.Worker) & P.Mask) == P.Mask);
+    RC_ASSERT((Used[P.Worker] & P.Mask) == 0);
+    Used[P.Worker] |= P.Mask;
+    if (Shape.Spread == Adjacency::Worker)
+      RC_ASSERT(P.Worker == Places[0].Worker);
+    if (Shape.Spread == Adjacency::Rack)
+      RC_ASSERT(Topo.rackOf(P.Worker) == Topo.rackOf(Places[0].Worker));
+  }
+}
+
+static GangShape anyShape() {
+  GangShape Shape;
+  Shape.Members = *rc::gen::inRange(1, 12);
+  Shape.AcceleratorsPerMember = 1 << *rc::gen::inRange(0, 4);
+  Shape.Spread = *rc::gen::element(Adjacency::Worker, Adjacency::Rack,
+                                   Adjacency::DataCentre);
+  return Shape;
+}
+
+// Guards against a gang that waits although it fits, and against a place that
+// is held, unaligned, used twice or outside the adjacency.
+RC_GTEST_PROP(CellPlacementTest, FindsAPlaceExactlyWhenThereIsOne, ()) {
+  Topology Topo = smallFleet(2, 3);
+  Occupancy Held(Topo);
+  int Other = Held.addHolder(0, false, absl::UnixEpoch());
+  for (int W = 0; W < Topo.workerCount(); ++W)
+    Held.place(Other, {W, *rc::gen::arbitrary<uint8_t>()});
+  GangShape Shape = anyShape();
+  CellPlacement Policy;
+  GangPlacement Places;
+  bool Found = Policy.choose(Held, Shape, {}, Places);
+  RC_ASSERT(Found == fitsByCounting(Held, Shape));
+  if (!Found)
+    return;
+  checkPlaces(Held, Shape, Places);
+  for (const MemberPlace &P : Places)
+    RC_ASSERT(alignedCells(P.Mask, Shape.AcceleratorsPerMember) == 1);
+  FirstFit Baseline;
+  if (Baseline.choose(Held, Shape, {}, Places))
+    checkPlaces(Held, Shape, Places);
+}
+
+// Guards against a job that waits for ever, and against one that is refused
+// although an idle data centre holds it.
+RC_GTEST_PROP(TopologyTest, NeverFitsExactlyWhenAnIdleFleetCannotHoldIt, ()) {
+  Topology Topo = smallFleet(2, 2, *rc::gen::element(4, 8));
+  Occupancy Idle(Topo);
+  GangShape Shape = anyShape();
+  Shape.Members = *rc::gen::inRange(1, 40);
+  RC_ASSERT(Topo.neverFits(Shape) == !fitsByCounting(Idle, Shape));
+}
+
+TEST(CellTableTest, TakesTheSmallestCellThatFits) {
+  const CellTable &Cells = CellTable::get();
+  // 0x1f: one cell of four and one single accelerator; the single is taken.
+  EXPECT_EQ(Cells.pick(0x1f, 1), 0x10);
+  EXPECT_EQ(Cells.pick(0x1f, 4), 0x0f);
+  EXPECT_EQ(Cells.pick(0x1f, 8), 0);
+  EXPECT_EQ(std::popcount(Cells.pick(0xff, 6)), 6);
+  EXPECT_EQ(Cells.capacity(0xff, 3), 2);
+}
+
+struct MixedRun {
+  int WholeWorkersStarted = 0;
+  int Refused = 0;
+  double MeanFragmentation = 0;
+};
+
+// The same arrivals and run times for every policy; what does not fit at once
+// is dropped.
+static MixedRun runMixedLoad(PlacementPolicy &Policy) {
+  static constexpr int Steps = 20000;
+  Topology Topo = smallFleet(4, 6);
+  Occupancy Held(Topo);
+  std::mt19937 Random(42);
+  std::multimap<int, int> Ends;
+  GangPlacement Places;
+  MixedRun Result;
+  for (int Step = 0; Step < Steps; ++Step) {
+    while (!Ends.empty() && Ends.begin()->first <= Step) {
+      Held.removeHolder(Ends.begin()->second);
+      Ends.erase(Ends.begin());
+    }
+    int Size = 1 << (Random() % 4);
+    int RunTime = 1 + static_cast<int>(Random() % 80);
+    if (Policy.choose(Held, {1, Size, Adjacency::Rack}, {}, Places)) {
+      int Holder = Held.addHolder(0, false, absl::UnixEpoch());
+      Held.place(Holder, Places[0]);
+      Ends.emplace(Step + RunTime, Holder);
+      Result.WholeWorkersStarted += Size == 8 ? 1 : 0;
+    } else {
+      ++Result.Refused;
+    }
+    Result.MeanFragmentation +=
+        fragmentation(Held, 8, Adjacency::DataCentre) / Steps;
+  }
+  return Result;
+}
+
+// Guards against best fit that divides large holes: more jobs that need a
+// whole worker must start than with the baseline.
+TEST(FragmentationTest, CellsKeepMoreWholeWorkersThanFirstFit) {
+  CellPlacement Cells;
+  FirstFit First;
+  MixedRun Best = runMixedLoad(Cells);
+  MixedRun Baseline = runMixedLoad(First);
+  RecordProperty("cells_refused", Best.Refused);
+  RecordProperty("first_fit_refused", Baseline.Refused);
+  printf("cells: %d whole workers, %d refused, fragmentation %.3f\n"
+         "first fit: %d whole workers, %d refused, fragmentation %.3f\n",
+         Best.WholeWorkersStarted, Best.Refused, Best.MeanFragmentation,
+         Baseline.WholeWorkersStarted, Baseline.Refused,
+         Baseline.MeanFragmentation);
+  EXPECT_GT(Best.WholeWorkersStarted, Baseline.WholeWorkersStarted);
+  EXPECT_LT(Best.MeanFragmentation, Baseline.MeanFragmentation);
+}
