Shorten worker views and digests on the wire

Cause: heartbeats have a budget of 2 KB/s a node; most changes of a worker are only to its free slots, and the generation in a digest has no reader.

Change: a brief WorkerView leaves out what the receiver has; a digest has no generation.

--- a/libs/wire/include/wire/DataCentreDigest.h
+++ b/libs/wire/include/wire/DataCentreDigest.h
@@ -32,8 +32,6 @@
   std::vector<HostDigest> Hosts;
   /// Time since the sender got or made the digest, in whole milliseconds.
   absl::Duration Age;
-  /// Highest generation of the configuration in the data centre.
-  int64_t Generation = 0;
   LoadSummary Load;
 
   friend bool operator==(const DataCentreDigest &,
--- a/libs/wire/include/wire/WorkerView.h
+++ b/libs/wire/include/wire/WorkerView.h
@@ -24,6 +24,9 @@
   /// True if the sender does not poll the worker any more, so that this view
   /// gives way to that of another host.
   bool Withdrawn = false;
+  /// True if Address, Rack, TotalSlots and Accelerators are left out because
+  /// the receiver has them.
+  bool Brief = false;
 
   friend bool operator==(const WorkerView &, const WorkerView &) = default;
 };
--- a/libs/wire/peer.thrift
+++ b/libs/wire/peer.thrift
@@ -15,15 +15,17 @@
 
 struct WorkerView {
   1: string worker
-  2: string endpoint
-  3: string rack
+  // The endpoint, the rack and the totals are left out of a brief view.
+  2: optional string endpoint
+  3: optional string rack
   4: i32 free_slots
-  5: i32 total_slots
+  5: optional i32 total_slots
   6: optional bool draining
   7: optional bool ejected
-  8: i32 accelerators
+  8: optional i32 accelerators
   9: i64 version
   10: optional bool withdrawn
+  11: optional bool brief
 }
 
 struct HostDigest {
@@ -38,8 +40,7 @@
   2: i64 hosts_hash
   3: optional list<HostDigest> hosts
   4: optional i64 age_ms
-  5: optional i64 generation
-  6: optional LoadSummary load
+  5: optional LoadSummary load
 }
 
 struct Heartbeat {
--- a/libs/wire/src/FromThrift.cpp
+++ b/libs/wire/src/FromThrift.cpp
@@ -60,6 +60,7 @@
   Out.Accelerators = In.accelerators;
   Out.Version = In.version;
   Out.Withdrawn = In.withdrawn;
+  Out.Brief = In.brief;
   return Out;
 }
 
@@ -78,7 +79,6 @@
   Out.HostsHash = In.hosts_hash;
   Out.Hosts = toVector(std::move(In.hosts));
   Out.Age = absl::Milliseconds(In.age_ms);
-  Out.Generation = In.generation;
   Out.Load = convert(In.load);
   return Out;
 }
@@ -166,8 +166,8 @@
   bool HostsAreNamed =
       std::all_of(In.hosts.begin(), In.hosts.end(),
                   [](const auto &Host) { return !Host.host.empty(); });
-  return !In.data_centre.empty() && In.age_ms >= 0 && In.generation >= 0 &&
-         isInRange(In.load) && HostsAreNamed;
+  return !In.data_centre.empty() && In.age_ms >= 0 && isInRange(In.load) &&
+         HostsAreNamed;
 }
 
 static bool isInRange(const thrift_wire::Heartbeat &In) {
--- a/libs/wire/src/ToThrift.cpp
+++ b/libs/wire/src/ToThrift.cpp
@@ -58,15 +58,16 @@
 static thrift_wire::WorkerView convert(const WorkerView &In) {
   thrift_wire::WorkerView Out;
   Out.__set_worker(In.Worker.str());
-  Out.__set_endpoint(In.Address.str());
-  Out.__set_rack(In.Rack.str());
   Out.__set_free_slots(In.FreeSlots);
-  Out.__set_total_slots(In.TotalSlots);
+  setUnlessDefault(In.Address, [&](auto &V) { Out.__set_endpoint(V.str()); });
+  setUnlessDefault(In.Rack, [&](auto &V) { Out.__set_rack(V.str()); });
+  setUnlessDefault(In.TotalSlots, [&](auto V) { Out.__set_total_slots(V); });
+  setUnlessDefault(In.Accelerators, [&](auto V) { Out.__set_accelerators(V); });
   setUnlessDefault(In.Draining, [&](auto V) { Out.__set_draining(V); });
   setUnlessDefault(In.Ejected, [&](auto V) { Out.__set_ejected(V); });
-  Out.__set_accelerators(In.Accelerators);
   Out.__set_version(In.Version);
   setUnlessDefault(In.Withdrawn, [&](auto V) { Out.__set_withdrawn(V); });
+  setUnlessDefault(In.Brief, [&](auto V) { Out.__set_brief(V); });
   return Out;
 }
 
@@ -86,7 +87,6 @@
   setUnlessDefault(In.Hosts, [&](auto &V) { Out.__set_hosts(toList(V)); });
   setUnlessDefault(absl::ToInt64Milliseconds(In.Age),
                    [&](auto V) { Out.__set_age_ms(V); });
-  setUnlessDefault(In.Generation, [&](auto V) { Out.__set_generation(V); });
   setUnlessDefault(In.Load, [&](auto &V) { Out.__set_load(convert(V)); });
   return Out;
 }
