--- /dev/null
+++ b/tools/load/include/load/Recorder.h
@@ -0,0 +1,64 @@
+#ifndef VANILLAYARD_LOAD_RECORDER_H
+#define VANILLAYARD_LOAD_RECORDER_H
+
+#include "base/Ids.h"
+#include "load/Outcome.h"
+#include "load/SampleSet.h"
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace vanillayard {
+
+struct LoadStream;
+struct PlannedRequest;
+
+/// What happened to a group of requests.
+struct GroupRecord {
+  size_t Sent = 0;
+  /// Seconds from the scheduled time to the whole answer, of "ok" only.
+  SampleSet Latency;
+  /// Counted by outcome and execution.
+  std::map<std::pair<std::string, std::string>, size_t> Outcomes;
+
+  size_t countOf(const std::string &Name) const;
+  size_t succeeded() const { return this->Latency.count(); }
+};
+
+/// Collects outcomes by kind, client account, class of callers and caller.
+class Recorder {
+public:
+  using Groups = std::map<std::string, GroupRecord>;
+
+  void record(const LoadStream &Stream, const PlannedRequest &Request,
+              const Outcome &Result);
+
+  const Groups &byKind() const { return this->Kinds; }
+  const Groups &byAccount() const { return this->Accounts; }
+  const Groups &byClass() const { return this->Classes; }
+  const GroupRecord &total() const { return this->Total; }
+
+  /// The group of a class of callers; empty if it sent nothing.
+  const GroupRecord &ofClass(const std::string &Name) const;
+  const GroupRecord &ofKind(const std::string &Name) const;
+
+  /// Fairness among the callers of a class: Jain's index of the share of its
+  /// own requests for which each caller got an answer.
+  double jainOfClass(const std::string &Name) const;
+
+  /// Requests that got a result which was not theirs.
+  size_t wrongAnswers() const;
+
+private:
+  Groups Kinds;
+  Groups Accounts;
+  Groups Classes;
+  std::map<std::string, Groups> Callers;
+  GroupRecord Total;
+};
+
+} // namespace vanillayard
+
+#endif
--- /dev/null
+++ b/tools/load/src/AnswerReader.cpp
@@ -0,0 +1,93 @@
+#include "load/AnswerReader.h"
+
+#include "base/ErrorKind.h"
+#include "standin_worker/TaskBody.h"
+
+#include <nlohmann/json.hpp>
+
+namespace vanillayard {
+
+static constexpr int HttpOk = 200;
+static constexpr int HttpAccepted = 202;
+static constexpr int FirstServerError = 500;
+
+static nlohmann::json parseObject(std::string_view Text) {
+  nlohmann::json Parsed = nlohmann::json::parse(Text, nullptr, false);
+  return Parsed.is_object() ? Parsed : nlohmann::json::object();
+}
+
+static std::string textOf(const nlohmann::json &Json, const char *Name) {
+  auto Found = Json.find(Name);
+  if (Found == Json.end() || !Found->is_string())
+    return "";
+  return Found->get<std::string>();
+}
+
+static Outcome readProblem(const HttpResponse &Answer) {
+  nlohmann::json Json = parseObject(Answer.Body);
+  std::string Kind = textOf(Json, "kind");
+  std::string Execution = textOf(Json, "execution");
+  std::optional<ErrorKind> Known = parseErrorKind(Kind);
+  if (!Known || Execution.empty() ||
+      answerFor(*Known).HttpStatus != Answer.Status)
+    return {Outcome::BadProblem, Execution, {}, {}};
+  return {Kind, Execution, {}, {}};
+}
+
+static Outcome readLoss(const absl::Status &Status) {
+  if (errorKindOf(Status) == ErrorKind::NoCapacity)
+    return {Outcome::NoConnection, "not_run", {}, {}};
+  return {Outcome::ConnectionLost, "may_have_run", {}, {}};
+}
+
+static Outcome readResult(std::string_view Result, std::string_view Owner,
+                          std::string_view Sent) {
+  if (TaskBody::isResultOf(Result, Owner, Sent))
+    return {Outcome::Ok, "ran", {}, {}};
+  return {Outcome::WrongAnswer, "ran", {}, {}};
+}
+
+Outcome AnswerReader::readRequest(const absl::StatusOr<HttpResponse> &Answer,
+                                  std::string_view Sent) {
+  if (!Answer.ok())
+    return readLoss(Answer.status());
+  if (Answer->Status != HttpOk)
+    return readProblem(*Answer);
+  return readResult(Answer->Body, Answer->Headers.get("Vanillayard-Request-Id"),
+                    Sent);
+}
+
+absl::StatusOr<std::string>
+AnswerReader::readSubmission(const absl::StatusOr<HttpResponse> &Answer,
+                             Outcome &Refused) {
+  if (!Answer.ok()) {
+    Refused = readLoss(Answer.status());
+    return Answer.status();
+  }
+  std::string Id = textOf(parseObject(Answer->Body), "id");
+  if ((Answer->Status == HttpAccepted || Answer->Status == HttpOk) &&
+      !Id.empty())
+    return Id;
+  Refused = readProblem(*Answer);
+  return absl::FailedPreconditionError(Refused.Name);
+}
+
+std::optional<Outcome>
+AnswerReader::readJob(const absl::StatusOr<HttpResponse> &Answer,
+                      std::string_view JobId, std::string_view Sent) {
+  if (!Answer.ok() || Answer->Status >= FirstServerError)
+    return std::nullopt;
+  if (Answer->Status != HttpOk)
+    return readProblem(*Answer);
+  nlohmann::json Json = parseObject(Answer->Body);
+  std::string State = textOf(Json, "state");
+  if (State == "finished")
+    return readResult(textOf(Json, "result"), JobId, Sent);
+  if (State == "failed")
+    return Outcome{"task_failed", "ran", {}, {}};
+  if (State == "cancelled" || State == "outcome_unknown")
+    return Outcome{State, "may_have_run", {}, {}};
+  return std::nullopt;
+}
+
+} // namespace vanillayard
--- /dev/null
+++ b/tools/load/src/Recorder.cpp
@@ -0,0 +1,64 @@
+#include "load/Recorder.h"
+
+#include "load/LoadStream.h"
+#include "load/PlannedRequest.h"
+
+#include <vector>
+
+namespace vanillayard {
+
+size_t GroupRecord::countOf(const std::string &Name) const {
+  size_t Count = 0;
+  for (const auto &[Key, Number] : this->Outcomes)
+    if (Key.first == Name)
+      Count += Number;
+  return Count;
+}
+
+static void addTo(GroupRecord &Group, const Outcome &Result) {
+  ++Group.Sent;
+  ++Group.Outcomes[{Result.Name, Result.Execution}];
+  if (Result.Name == Outcome::Ok)
+    Group.Latency.add(absl::ToDoubleSeconds(Result.Latency));
+}
+
+void Recorder::record(const LoadStream &Stream, const PlannedRequest &Request,
+                      const Outcome &Result) {
+  addTo(this->Total, Result);
+  addTo(this->Kinds[Stream.Kind.str()], Result);
+  addTo(this->Accounts[Stream.Account.str()], Result);
+  addTo(this->Classes[Stream.Name], Result);
+  addTo(this->Callers[Stream.Name][Request.Caller.str()], Result);
+}
+
+static const GroupRecord &find(const Recorder::Groups &Groups,
+                               const std::string &Name) {
+  static const GroupRecord Empty;
+  auto Found = Groups.find(Name);
+  return Found == Groups.end() ? Empty : Found->second;
+}
+
+const GroupRecord &Recorder::ofClass(const std::string &Name) const {
+  return find(this->Classes, Name);
+}
+
+const GroupRecord &Recorder::ofKind(const std::string &Name) const {
+  return find(this->Kinds, Name);
+}
+
+double Recorder::jainOfClass(const std::string &Name) const {
+  std::vector<double> Shares;
+  auto Found = this->Callers.find(Name);
+  if (Found == this->Callers.end())
+    return 1;
+  for (const auto &[Caller, Group] : Found->second)
+    Shares.push_back(static_cast<double>(Group.succeeded()) /
+                     static_cast<double>(Group.Sent));
+  return jainIndex(Shares);
+}
+
+size_t Recorder::wrongAnswers() const {
+  return this->Total.countOf(Outcome::WrongAnswer);
+}
+
+} // namespace vanillayard
