Add the request task: submit, run, answer

Change: RequestTask with admission, dispatch, retries, hedged requests, forwarding and shutdown; ClaimStore with group commit; fakes of the store and the workers for the tests. AdmissionQueue::drainTime() gives the load that a host reports.

--- a/libs/policy/include/policy/AdmissionQueue.h
+++ b/libs/policy/include/policy/AdmissionQueue.h
@@ -71,6 +71,10 @@
   virtual absl::Duration estimatedWait(const QueueItem &Item,
                                        absl::Time Now) const = 0;
 
+  /// Expected time to serve all queued items of \p Kind.
+  virtual absl::Duration drainTime(const KindId &Kind,
+                                   absl::Time Now) const = 0;
+
   virtual size_t size() const = 0;
   virtual size_t size(const KindId &Kind) const = 0;
 };
--- a/libs/policy/src/FairQueue.cpp
+++ b/libs/policy/src/FairQueue.cpp
@@ -322,6 +322,14 @@
   return Token;
 }
 
+absl::Duration FairQueue::drainTime(const KindId &Kind, absl::Time Now) const {
+  auto Found = this->KindIndex.find(Kind);
+  if (Found == this->KindIndex.end())
+    return absl::ZeroDuration();
+  const KindNode &Node = this->Kinds[Found->second];
+  return Node.Rate.timeFor(static_cast<double>(Node.Count), Now);
+}
+
 size_t FairQueue::size(const KindId &Kind) const {
   auto Found = this->KindIndex.find(Kind);
   return Found == this->KindIndex.end() ? 0 : this->Kinds[Found->second].Count;
--- a/libs/policy/src/FifoQueue.cpp
+++ b/libs/policy/src/FifoQueue.cpp
@@ -112,6 +112,11 @@
   return this->Rate.timeFor(static_cast<double>(this->Count), Now);
 }
 
+absl::Duration FifoQueue::drainTime(const KindId & /*Kind*/,
+                                    absl::Time Now) const {
+  return this->Rate.timeFor(static_cast<double>(this->Count), Now);
+}
+
 size_t FifoQueue::size(const KindId &Kind) const {
   auto Found = this->Counts.find(Kind);
   return Found == this->Counts.end() ? 0 : Found->second;
--- a/libs/policy/src/FifoQueue.h
+++ b/libs/policy/src/FifoQueue.h
@@ -21,6 +21,7 @@
   std::optional<uint64_t> popExpired(absl::Time Now) override;
   absl::Duration estimatedWait(const QueueItem &Item,
                                absl::Time Now) const override;
+  absl::Duration drainTime(const KindId &Kind, absl::Time Now) const override;
   size_t size() const override { return this->Count; }
   size_t size(const KindId &Kind) const override;
 
--- /dev/null
+++ b/libs/requests/src/WorkerTable.cpp
@@ -0,0 +1,153 @@
+#include "WorkerTable.h"
+
+#include <algorithm>
+
+namespace vanillayard {
+
+// A worker that looked full this long ago may have room: other hosts' requests
+// have ended since, and a refusal costs one short call.
+static constexpr absl::Duration StaleView = absl::Milliseconds(250);
+
+WorkerTable::WorkerTable(std::unique_ptr<WorkerSelector> Selector,
+                         std::unique_ptr<WorkerHealth> Health,
+                         ConcurrencyControl Control)
+    : Selector(std::move(Selector)), Health(std::move(Health)),
+      Control(Control) {}
+
+size_t WorkerTable::indexFor(const WorkerId &Id) {
+  auto Found = this->Index.find(Id);
+  if (Found != this->Index.end())
+    return Found->second;
+  size_t New = 0;
+  while (New < this->Workers.size() &&
+         (this->Workers[New].Present || this->Candidates[New].InFlight > 0))
+    ++New;
+  if (New == this->Workers.size()) {
+    this->Workers.emplace_back();
+    this->Candidates.emplace_back();
+  }
+  this->Workers[New].Present = true;
+  this->Workers[New].Limiter = ConcurrencyLimiter::create(this->Control);
+  this->Health->add(New);
+  this->Index[Id] = New;
+  return New;
+}
+
+void WorkerTable::update(const WorkerView &View, absl::Time Now) {
+  size_t I = this->indexFor(View.Id);
+  Worker &W = this->Workers[I];
+  W.View = View;
+  W.Limiter->setBound(View.Slots, View.Connections);
+  this->setFreeSlots(I, View.FreeSlots, Now);
+}
+
+void WorkerTable::remove(const WorkerId &Id) {
+  auto Found = this->Index.find(Id);
+  if (Found == this->Index.end())
+    return;
+  size_t I = Found->second;
+  this->Index.erase(Found);
+  this->Workers[I].Present = false;
+  this->Health->remove(I);
+  this->Candidates[I].Limit = 0;
+  this->countIn(I);
+}
+
+void WorkerTable::setFreeSlots(size_t I, int FreeSlots, absl::Time Now) {
+  Worker &W = this->Workers[I];
+  W.ViewTime = Now;
+  ++W.ViewSerial;
+  this->Candidates[I].FreeSlots = FreeSlots;
+  this->Candidates[I].SentSinceView = 0;
+  this->refresh(I, Now);
+}
+
+void WorkerTable::refresh(size_t I, absl::Time Now) {
+  const Worker &W = this->Workers[I];
+  WorkerCandidate &C = this->Candidates[I];
+  C.Draining = W.View.Draining;
+  C.Limit = !W.Present || W.View.Ejected
+                ? 0
+                : std::min(W.Limiter->limit(), this->Health->allowance(I, Now));
+  this->countIn(I);
+}
+
+void WorkerTable::countIn(size_t I) {
+  Worker &W = this->Workers[I];
+  const WorkerCandidate &C = this->Candidates[I];
+  bool InUse = W.Present && !C.Draining && !W.View.Ejected;
+  int Room = C.isUsable() ? std::min(C.room(), C.Limit - C.InFlight) : 0;
+  int Slots = InUse ? W.View.Slots : 0;
+  this->RoomTotal += Room - W.Room;
+  this->SlotTotal += Slots - W.Slots;
+  W.Room = Room;
+  W.Slots = Slots;
+}
+
+std::optional<WorkerTable::Reservation>
+WorkerTable::reserve(std::span<const size_t> Avoid) {
+  auto Chosen = this->Selector->pick(this->Candidates, Avoid);
+  if (!Chosen)
+    return std::nullopt;
+  ++this->Candidates[*Chosen].InFlight;
+  ++this->Candidates[*Chosen].SentSinceView;
+  this->countIn(*Chosen);
+  return Reservation{*Chosen, this->Workers[*Chosen].ViewSerial};
+}
+
+void WorkerTable::release(const Reservation &Place, int FreeSlots,
+                          absl::Time Now) {
+  WorkerCandidate &C = this->Candidates[Place.Worker];
+  Worker &W = this->Workers[Place.Worker];
+  --C.InFlight;
+  if (FreeSlots >= 0)
+    return this->setFreeSlots(Place.Worker, FreeSlots, Now);
+  // A newer view counted this request as one that uses a slot.
+  if (Place.ViewSerial == W.ViewSerial)
+    --C.SentSinceView;
+  else
+    C.FreeSlots = std::min(C.FreeSlots + 1, W.View.Slots);
+  this->refresh(Place.Worker, Now);
+}
+
+void WorkerTable::onSuccess(size_t I, absl::Time Now) {
+  if (!this->Workers[I].Present)
+    return;
+  this->Workers[I].Limiter->onSuccess(this->Candidates[I].InFlight);
+  this->Health->onSuccess(I, Now);
+  this->refresh(I, Now);
+}
+
+void WorkerTable::onFailure(size_t I, std::span<const size_t> FailedBefore,
+                            absl::Time Now) {
+  if (!this->Workers[I].Present)
+    return;
+  this->Health->onFailure(I, FailedBefore, Now);
+  this->refresh(I, Now);
+}
+
+void WorkerTable::onRefused(size_t I, absl::Time Now) {
+  this->onLost(I, Now);
+  this->setFreeSlots(I, 0, Now);
+}
+
+void WorkerTable::onLost(size_t I, absl::Time Now) {
+  this->Workers[I].Limiter->onOverload(Now);
+  this->refresh(I, Now);
+}
+
+void WorkerTable::refreshAll(absl::Time Now) {
+  for (size_t I = 0; I < this->Workers.size(); ++I) {
+    Worker &W = this->Workers[I];
+    if (!W.Present)
+      continue;
+    WorkerCandidate &C = this->Candidates[I];
+    if (C.room() <= 0 && Now - W.ViewTime >= StaleView) {
+      C.FreeSlots = C.SentSinceView + 1;
+      W.ViewTime = Now;
+    }
+    this->refresh(I, Now);
+  }
+}
+
+} // namespace vanillayard
--- /dev/null
+++ b/libs/requests/tests/FakeStore.h
@@ -0,0 +1,71 @@
+#ifndef VANILLAYARD_REQUESTS_TESTS_FAKESTORE_H
+#define VANILLAYARD_REQUESTS_TESTS_FAKESTORE_H
+
+#include "base/Executor.h"
+#include "platform/Store.h"
+
+#include "absl/time/time.h"
+
+#include <map>
+#include <random>
+
+namespace vanillayard {
+
+/// The platform's service in a simulation, with faults on command.
+class FakeStore {
+public:
+  struct Faults {
+    /// Calls fail without effect.
+    bool Down = false;
+    absl::Duration Delay = absl::Milliseconds(2);
+    /// Probability that a call takes effect and its answer is lost.
+    double LoseAnswer = 0;
+    /// Probability that a write takes effect 3 s late.
+    double LateWrite = 0;
+    /// Probability that a read answers with the state before the last write.
+    double StaleRead = 0;
+  };
+
+  FakeStore(Executor &World, uint64_t Seed) : World(World), Random(Seed) {}
+
+  bool chance(double Probability) {
+    return std::uniform_real_distribution<double>()(this->Random) < Probability;
+  }
+  RangeResult read(const std::string &Key);
+  std::vector<WriteResult> write(const std::vector<ConditionalWrite> &Writes);
+
+  Executor &World;
+  Faults Fault;
+  int Reads = 0;
+  int Writes = 0;
+
+private:
+  using Data = std::map<std::string, StoredValue>;
+
+  std::mt19937_64 Random;
+  int64_t Revision = 1;
+  Data Now;
+  Data Before;
+};
+
+/// One host's connection to the store.
+class FakeStoreClient final : public Store {
+public:
+  FakeStoreClient(FakeStore &Service, Executor &Host)
+      : Service(Service), Host(Host) {}
+
+  void get(const std::string &Key, RangeCallback Done) override;
+  void list(const std::string &Prefix, RangeCallback Done) override;
+  void write(std::vector<ConditionalWrite> Writes, WriteCallback Done) override;
+  std::unique_ptr<StoreWatch> watch(const std::string &Prefix,
+                                    int64_t FromRevision, WatchCallback Changed,
+                                    WatchEndCallback Ended) override;
+
+private:
+  FakeStore &Service;
+  Executor &Host;
+};
+
+} // namespace vanillayard
+
+#endif
--- /dev/null
+++ b/libs/requests/tests/FakeWorkers.h
@@ -0,0 +1,125 @@
+#ifndef VANILLAYARD_REQUESTS_TESTS_FAKEWORKERS_H
+#define VANILLAYARD_REQUESTS_TESTS_FAKEWORKERS_H
+
+#include "base/Executor.h"
+#include "endpoint/WorkerClient.h"
+#include "requests/WorkerView.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+
+namespace vanillayard {
+
+/// One simulated worker, which counts what it executes.
+struct FakeWorker {
+  struct Lease {
+    std::string Owner;
+    std::string Body;
+    LeaseState State = LeaseState::Held;
+    absl::Time Expires;
+    /// Called when the task ends.
+    std::vector<std::function<void()>> Waiting;
+  };
+
+  std::string Name;
+  int Slots = 2;
+  bool FailEverything = false;
+  /// Refuses connections, without effect.
+  bool Down = false;
+  /// Takes calls and does nothing until it is resumed.
+  bool Paused = false;
+  std::deque<std::function<void()>> HeldCalls;
+  std::map<LeaseId, Lease> Leases;
+  int Started = 0;
+
+  int freeSlots() const;
+};
+
+/// All workers, with the faults of the network to them.
+class FakeWorkers {
+public:
+  struct Faults {
+    absl::Duration RunTime = absl::Milliseconds(20);
+    /// Probability that a call arrives 1 to 4 s late.
+    double LateCall = 0;
+    /// Probability that an answer is lost.
+    double LoseAnswer = 0;
+    /// Probability that the answer of another lease is given.
+    double CrossAnswer = 0;
+    double TruncateAnswer = 0;
+  };
+
+  FakeWorkers(Executor &World, int Count, uint64_t Seed);
+
+  FakeWorker &at(size_t Index) { return *this->Workers[Index]; }
+  FakeWorker &at(const Endpoint &Address);
+  size_t size() const { return this->Workers.size(); }
+  WorkerView view(size_t Index) const;
+  bool chance(double Probability);
+  void resume(size_t Index);
+  /// Forgets all leases; what runs ends without a result.
+  void restart(size_t Index) { this->at(Index).Leases.clear(); }
+  void start(FakeWorker &Worker, const LeaseId &Id, const std::string &Body);
+
+  Executor &World;
+  Faults Fault;
+  std::mt19937_64 Random;
+  /// Executions by owner (submission) and by body.
+  std::map<std::string, int> ByOwner;
+  std::map<std::string, int> ByBody;
+
+private:
+  std::vector<std::unique_ptr<FakeWorker>> Workers;
+};
+
+/// One host's connections to the workers.
+class FakeWorkerClient final : public WorkerClient {
+public:
+  FakeWorkerClient(FakeWorkers &Fleet, Executor &Host)
+      : Fleet(Fleet), Host(Host) {}
+
+  void status(const Endpoint &Worker, Callback<WorkerStatus> Done) override;
+  void acquire(const Endpoint &Worker, const LeaseRequest &Request,
+               Callback<LeaseReport> Done) override;
+  void renew(const Endpoint &Worker, const std::vector<LeaseId> &Leases,
+             const Epoch &Holder, absl::Duration Ttl,
+             Callback<RenewResult> Done) override;
+  void start(const Endpoint &Worker, const LeaseId &Lease, const Epoch &Holder,
+             std::string Body, Callback<LeaseReport> Done) override;
+  void startAndWait(const Endpoint &Worker, const LeaseId &Lease,
+                    const Epoch &Holder, std::string Body,
+                    absl::Duration Timeout, Callback<TaskResult> Done) override;
+  void run(const Endpoint &Worker, const LeaseRequest &Request,
+           std::string Body, absl::Duration Timeout,
+           Callback<TaskResult> Done) override;
+  void query(const Endpoint &Worker, const LeaseId &Lease,
+             Callback<TaskResult> Done) override;
+  void revoke(const Endpoint &Worker, const LeaseId &Lease,
+              Callback<RevokeResult> Done) override;
+  void stop(const Endpoint &Worker, const LeaseId &Lease, const Epoch &Holder,
+            Callback<LeaseReport> Done) override;
+  void checkpoint(const Endpoint &Worker, const LeaseId &Lease,
+                  const Epoch &Holder, Callback<LeaseReport> Done) override;
+  void throttle(const Endpoint &Worker, const LeaseId &Lease,
+                const Epoch &Holder, double Share,
+                Callback<LeaseReport> Done) override;
+  void release(const Endpoint &Worker, const LeaseId &Lease,
+               Callback<LeaseReport> Done) override;
+
+private:
+  template <typename T> using Reply = std::function<void(absl::StatusOr<T>)>;
+  template <typename T>
+  void call(const Endpoint &Address, absl::Duration Timeout, Callback<T> Done,
+            std::function<void(FakeWorker &, Reply<T>)> Effect);
+  void replyWhenEnded(FakeWorker &Worker, const LeaseId &Lease,
+                      const Reply<TaskResult> &Answer);
+
+  FakeWorkers &Fleet;
+  Executor &Host;
+};
+
+} // namespace vanillayard
+
+#endif
--- /dev/null
+++ b/libs/requests/tests/Simulation.h
@@ -0,0 +1,159 @@
+#ifndef VANILLAYARD_REQUESTS_TESTS_SIMULATION_H
+#define VANILLAYARD_REQUESTS_TESTS_SIMULATION_H
+
+#include "FakeStore.h"
+#include "FakeWorkers.h"
+#include "HostExecutor.h"
+#include "base/ErrorKind.h"
+#include "base/VirtualExecutor.h"
+#include "config/Configuration.h"
+#include "requests/RequestForwarder.h"
+#include "requests/RequestTask.h"
+
+#include <fmt/format.h>
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace vanillayard {
+
+/// Delivers requests to the next host that is not gone, as another entry host
+/// would receive them.
+class FakeForwarder final : public RequestForwarder {
+public:
+  std::span<const DataCentreLoad> loads() const override { return this->Loads; }
+  void forward(const DataCentreId & /*Target*/, const SubmittedRequest &Request,
+               AnswerCallback Done) override {
+    ++this->Count;
+    if (this->Peer && !this->Refuse)
+      return this->Peer->submit(Request, std::move(Done));
+    this->Exec->post([this, Done] {
+      Done(makeError(this->LoseAnswer ? ErrorKind::OutcomeUnknown
+                                      : ErrorKind::ShuttingDown,
+                     "no peer"));
+    });
+  }
+
+  Executor *Exec = nullptr;
+  RequestTask *Peer = nullptr;
+  bool Refuse = false;
+  bool LoseAnswer = false;
+  int Count = 0;
+  std::vector<DataCentreLoad> Loads;
+};
+
+/// Entry hosts over one fake store and several fake workers.
+class Simulation {
+public:
+  struct Host {
+    Host(Simulation &S, size_t Index)
+        : Exec(S.World), StoreCalls(S.Store, this->Exec),
+          WorkerCalls(S.Workers, this->Exec), Index(Index) {
+      this->Forwarder.Exec = &this->Exec;
+    }
+
+    HostExecutor Exec;
+    FakeStoreClient StoreCalls;
+    FakeWorkerClient WorkerCalls;
+    FakeForwarder Forwarder;
+    std::unique_ptr<RequestTask> Task;
+    size_t Index;
+    int Incarnation = 0;
+  };
+
+  /// One submission and what came back.
+  struct Submission {
+    SubmittedRequest Request;
+    size_t Host = 0;
+    int Incarnation = 0;
+    int Callbacks = 0;
+    absl::StatusOr<RequestAnswer> Result = absl::UnknownError("pending");
+  };
+
+  explicit Simulation(int HostCount = 1, int WorkerCount = 3,
+                      uint64_t Seed = 42)
+      : Store(World, Seed), Workers(World, WorkerCount, Seed + 1) {
+    this->Config.PresetInForce = PresetId("ordinary");
+    this->Config.Presets.push_back(
+        {PresetId("ordinary"), {}, 0, true, true, true});
+    for (const char *Name : {"a", "b"})
+      this->Config.Accounts.push_back({ClientAccountId(Name), 1, {}, 0, 10000});
+    this->Config.Kinds = {
+        {KindId("price-check"), Urgency::Urgent, {}, true},
+        {KindId("cut-sheet"), Urgency::Normal, {}, false},
+        {KindId("photo-match"), Urgency::Deferrable, {}, true}};
+    for (int I = 0; I < HostCount; ++I)
+      this->Hosts.push_back(std::make_unique<Host>(*this, this->Hosts.size()));
+    for (auto &H : this->Hosts)
+      this->startHost(*H);
+  }
+
+  /// Starts a new process on a host; the old one is gone without a trace.
+  void startHost(Host &H) {
+    H.Exec.restart();
+    H.Task.reset();
+    ++H.Incarnation;
+    H.Task = *RequestTask::Builder(H.Exec, H.StoreCalls, H.WorkerCalls)
+                  .host(HostId(fmt::format("h{}", H.Index)))
+                  .dataCentre(DataCentreId("dc1"))
+                  .forwarder(&H.Forwarder)
+                  .seed(H.Index * 100 + static_cast<size_t>(H.Incarnation))
+                  .build();
+    H.Task->configure(this->Config);
+    this->sendViews(H);
+  }
+
+  void sendViews(Host &H) {
+    for (size_t I = 0; I < this->Workers.size(); ++I)
+      H.Task->updateWorker(this->Workers.view(I));
+  }
+
+  Submission &submit(size_t HostIndex, const std::string &Kind,
+                     const std::string &Key, const std::string &Body,
+                     absl::Duration Deadline = absl::Seconds(10),
+                     const std::string &Caller = "c") {
+    Host &H = *this->Hosts[HostIndex];
+    Submission &S = this->Submissions.emplace_back();
+    S.Host = HostIndex;
+    S.Incarnation = H.Incarnation;
+    S.Request = {RequestId(fmt::format("r{}", this->Submissions.size())),
+                 ClientAccountId("a"),
+                 CallerId(Caller),
+                 KindId(Kind),
+                 this->World.now() + Deadline,
+                 Key.empty(),
+                 Key,
+                 Body,
+                 false};
+    H.Task->submit(S.Request, [&S](absl::StatusOr<RequestAnswer> Result) {
+      ++S.Callbacks;
+      S.Result = std::move(Result);
+    });
+    return S;
+  }
+
+  Host &host(size_t Index = 0) { return *this->Hosts[Index]; }
+
+  VirtualExecutor World;
+  FakeStore Store;
+  FakeWorkers Workers;
+  Configuration Config;
+  std::vector<std::unique_ptr<Host>> Hosts;
+  std::deque<Submission> Submissions;
+};
+
+/// The name of the error, or "ok".
+inline std::string outcome(const Simulation::Submission &S) {
+  if (S.Callbacks == 0)
+    return "pending";
+  if (S.Result.ok())
+    return "ok";
+  return std::string(answerFor(errorKindOf(S.Result.status())).Name);
+}
+
+} // namespace vanillayard
+
+#endif
