Rename the request task's WorkerView to WorkerCapacity

Cause: libs/wire has a struct of the same name in the same namespace, and a program that links both breaks the one-definition rule. Change: the request task's struct is WorkerCapacity. Conclusion: both libraries can be linked into the daemon.

--- a/libs/requests/include/requests/RequestTask.h
+++ b/libs/requests/include/requests/RequestTask.h
@@ -16,7 +16,7 @@
 namespace vanillayard {
 
 struct Configuration;
-struct WorkerView;
+struct WorkerCapacity;
 class Executor;
 class RequestForwarder;
 class Store;
@@ -55,7 +55,7 @@
   virtual bool cancel(const RequestId &Id, CancelReason Reason) = 0;
 
   /// Adds a worker or replaces its view.
-  virtual void updateWorker(const WorkerView &View) = 0;
+  virtual void updateWorker(const WorkerCapacity &View) = 0;
   virtual void removeWorker(const WorkerId &Id) = 0;
 
   /// Stops admission, hands queued requests to peers and finishes the others.
--- a/libs/requests/include/requests/WorkerView.h
+++ b/libs/requests/include/requests/WorkerCapacity.h
@@ -1,12 +1,12 @@
-#ifndef VANILLAYARD_REQUESTS_WORKERVIEW_H
-#define VANILLAYARD_REQUESTS_WORKERVIEW_H
+#ifndef VANILLAYARD_REQUESTS_WORKERCAPACITY_H
+#define VANILLAYARD_REQUESTS_WORKERCAPACITY_H
 
 #include "base/Ids.h"
 
 namespace vanillayard {
 
 /// What this host knows of a worker of its data centre.
-struct WorkerView {
+struct WorkerCapacity {
   WorkerId Id;
   Endpoint Address;
   int Slots = 0;
--- a/libs/requests/src/ClaimedRunner.cpp
+++ b/libs/requests/src/ClaimedRunner.cpp
@@ -181,7 +181,7 @@
     this->Host.requeue(R);
     return this->Host.endStep(R);
   }
-  const WorkerView &View = this->Host.table().view(R.Place->Worker);
+  const WorkerCapacity &View = this->Host.table().view(R.Place->Worker);
   LeaseRequest Lease;
   Lease.Lease = R.Lease =
       LeaseId(fmt::format("{}.{}", R.Request.Id.str(), ++R.Attempts));
@@ -235,7 +235,7 @@
 }
 
 void ClaimedRunner::claim(LiveRequest &R, int64_t Revision) {
-  const WorkerView &View = this->Host.table().view(R.Place->Worker);
+  const WorkerCapacity &View = this->Host.table().view(R.Place->Worker);
   ClaimRecord Record;
   Record.Digest = R.Digest;
   Record.Request = R.Request.Id;
--- a/libs/requests/src/RepeatableRunner.cpp
+++ b/libs/requests/src/RepeatableRunner.cpp
@@ -23,7 +23,7 @@
 void RepeatableRunner::launch(const LivePtr &R,
                               const WorkerTable::Reservation &Place) {
   Executor &Exec = this->Host.executor();
-  const WorkerView &View = this->Host.table().view(Place.Worker);
+  const WorkerCapacity &View = this->Host.table().view(Place.Worker);
   absl::Time Now = Exec.now();
   absl::Duration Remaining = R->Request.Deadline - Now;
   LeaseRequest Lease;
--- a/libs/requests/src/RequestTaskImpl.cpp
+++ b/libs/requests/src/RequestTaskImpl.cpp
@@ -312,7 +312,7 @@
   return Longest;
 }
 
-void RequestTaskImpl::updateWorker(const WorkerView &View) {
+void RequestTaskImpl::updateWorker(const WorkerCapacity &View) {
   this->Table.update(View, this->Config.Exec.now());
   this->scheduleDispatch();
 }
--- a/libs/requests/src/RequestTaskImpl.h
+++ b/libs/requests/src/RequestTaskImpl.h
@@ -23,7 +23,7 @@
   void configure(const Configuration &Config) override;
   void submit(SubmittedRequest Request, AnswerCallback Done) override;
   bool cancel(const RequestId &Id, CancelReason Reason) override;
-  void updateWorker(const WorkerView &View) override;
+  void updateWorker(const WorkerCapacity &View) override;
   void removeWorker(const WorkerId &Id) override;
   void shutdown(std::function<void()> Idle) override;
   absl::Duration queueDelay() const override;
--- a/libs/requests/src/WorkerTable.cpp
+++ b/libs/requests/src/WorkerTable.cpp
@@ -33,7 +33,7 @@
   return New;
 }
 
-void WorkerTable::update(const WorkerView &View, absl::Time Now) {
+void WorkerTable::update(const WorkerCapacity &View, absl::Time Now) {
   size_t I = this->indexFor(View.Id);
   Worker &W = this->Workers[I];
   W.View = View;
--- a/libs/requests/src/WorkerTable.h
+++ b/libs/requests/src/WorkerTable.h
@@ -4,7 +4,7 @@
 #include "policy/ConcurrencyLimiter.h"
 #include "policy/WorkerHealth.h"
 #include "policy/WorkerSelector.h"
-#include "requests/WorkerView.h"
+#include "requests/WorkerCapacity.h"
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
@@ -30,7 +30,7 @@
   WorkerTable(std::unique_ptr<WorkerSelector> Selector,
               std::unique_ptr<WorkerHealth> Health, ConcurrencyControl Control);
 
-  void update(const WorkerView &View, absl::Time Now);
+  void update(const WorkerCapacity &View, absl::Time Now);
   void remove(const WorkerId &Id);
 
   /// Takes a place on a worker that is not one of \p Avoid.
@@ -51,7 +51,7 @@
   /// view is old are tried with one request.
   void refreshAll(absl::Time Now);
 
-  const WorkerView &view(size_t Worker) const {
+  const WorkerCapacity &view(size_t Worker) const {
     return this->Workers[Worker].View;
   }
   /// Requests that can be sent now.
@@ -61,7 +61,7 @@
 
 private:
   struct Worker {
-    WorkerView View;
+    WorkerCapacity View;
     bool Present = false;
     std::unique_ptr<ConcurrencyLimiter> Limiter;
     absl::Time ViewTime;
--- a/libs/requests/tests/FakeWorkers.cpp
+++ b/libs/requests/tests/FakeWorkers.cpp
@@ -32,7 +32,7 @@
   std::abort();
 }
 
-WorkerView FakeWorkers::view(size_t Index) const {
+WorkerCapacity FakeWorkers::view(size_t Index) const {
   const FakeWorker &W = *this->Workers[Index];
   return {WorkerId(W.Name),
           Endpoint(W.Name),
--- a/libs/requests/tests/FakeWorkers.h
+++ b/libs/requests/tests/FakeWorkers.h
@@ -3,7 +3,7 @@
 
 #include "base/Executor.h"
 #include "endpoint/WorkerClient.h"
-#include "requests/WorkerView.h"
+#include "requests/WorkerCapacity.h"
 
 #include <deque>
 #include <map>
@@ -56,7 +56,7 @@
   FakeWorker &at(size_t Index) { return *this->Workers[Index]; }
   FakeWorker &at(const Endpoint &Address);
   size_t size() const { return this->Workers.size(); }
-  WorkerView view(size_t Index) const;
+  WorkerCapacity view(size_t Index) const;
   bool chance(double Probability);
   void resume(size_t Index);
   /// Forgets all leases; what runs ends without a result.
