Bind acknowledgements of worker views to one process

Change: an acknowledgement names the incarnation it is for and is sent only after views were received; the simulated hosts read the platform's list, which is read again after 2 s when a read fails.

--- a/libs/peer/include/peer/testing/PeerCluster.h
+++ b/libs/peer/include/peer/testing/PeerCluster.h
@@ -6,6 +6,7 @@
 #include "peer/Membership.h"
 #include "peer/testing/FakePeerNetwork.h"
 #include "peer/testing/FreezableExecutor.h"
+#include "platform/testing/FakeHostDirectory.h"
 
 #include <memory>
 #include <string>
@@ -44,6 +45,8 @@
 
   VirtualExecutor Exec;
   FakePeerNetwork Network;
+  /// Lists all hosts, also those that do not run, as the real list lags.
+  FakeHostDirectory Directory;
 
 private:
   struct Host {
--- a/libs/peer/src/MembershipHeartbeat.cpp
+++ b/libs/peer/src/MembershipHeartbeat.cpp
@@ -117,7 +117,9 @@
     if (!Batch.Views.empty())
       Beat.ViewsAfter = Batch.After;
     Beat.Workers = std::move(Batch.Views);
-    Beat.ViewsSeen = this->Views.seenOf(To->Host);
+    Beat.ViewsSeen = this->Views.takeAcknowledgement(To->Host);
+    if (Beat.ViewsSeen > 0)
+      Beat.ViewsSeenOf = To->Incarnation;
   }
   this->addDigests(*To, Beat);
   Beat.WantedHostsOf = this->Digests.takeWanted(To->Host);
--- a/libs/peer/src/MembershipImpl.cpp
+++ b/libs/peer/src/MembershipImpl.cpp
@@ -20,6 +20,8 @@
 /// After a pause of this length another host may have become the planner: it
 /// waits 6 s from the last heartbeat, which may be 1 s older than the pause.
 static constexpr absl::Duration RoleLossPause = absl::Seconds(5);
+/// After a failed read of the platform's list.
+static constexpr absl::Duration DirectoryRetryInterval = absl::Seconds(2);
 /// Relaying ends this many hosts below the number at which it begins, so that
 /// the loss of one host does not switch it.
 static constexpr int RelayHysteresis = 3;
@@ -224,7 +226,8 @@
     if (Digest.DataCentre != this->DataCentre)
       this->Digests.received(From, Digest, this->Hosts, this->Exec.now());
   if (Host->DataCentre == this->DataCentre) {
-    this->Views.acknowledged(From, Beat.ViewsSeen);
+    if (Beat.ViewsSeenOf == this->Incarnation)
+      this->Views.acknowledged(From, Beat.ViewsSeen);
     for (const WorkerView &View :
          this->Views.received(From, {Beat.ViewsAfter, Beat.Workers}))
       this->notify([&](auto &L) { L.workerViewChanged(From, View); });
@@ -250,17 +253,25 @@
   if (!this->Directory)
     return;
   this->Directory->fetch([this, Token = std::weak_ptr<bool>(this->Alive)](
-                             absl::StatusOr<HostList> List) {
-    if (Token.expired() || !List.ok())
-      return;
+                             const absl::StatusOr<HostList> &List) {
+    if (!Token.expired())
+      this->directoryAnswered(List);
+  });
+}
+
+void Membership::Impl::directoryAnswered(const absl::StatusOr<HostList> &List) {
+  absl::Duration Wait = this->DirectoryInterval;
+  if (List.ok()) {
     std::vector<Endpoint> Listed;
     for (const ListedHost &Host : List->Hosts)
       if (Host.Role == HostRole::Entry && Host.State == HostState::Live)
         Listed.push_back(Host.Address);
     this->Addresses.setListed(Listed);
-  });
-  this->DirectoryTimer = this->Exec.runAfter(this->DirectoryInterval,
-                                             [this] { this->pollDirectory(); });
+  } else {
+    Wait = std::min(Wait, DirectoryRetryInterval);
+  }
+  this->DirectoryTimer =
+      this->Exec.runAfter(Wait, [this] { this->pollDirectory(); });
 }
 
 bool Membership::Impl::isPlanner() const {
--- a/libs/peer/src/MembershipImpl.h
+++ b/libs/peer/src/MembershipImpl.h
@@ -21,6 +21,7 @@
 namespace vanillayard {
 
 class Counter;
+struct HostList;
 
 class Membership::Impl {
 public:
@@ -79,6 +80,7 @@
   void heartbeatReceived(const HostId &From, const Heartbeat &Beat);
   void dispatch(const Envelope &Message);
   void pollDirectory();
+  void directoryAnswered(const absl::StatusOr<HostList> &List);
   template <typename Call> void notify(Call Notify);
 
   // MembershipHeartbeat.cpp
--- a/libs/peer/src/ViewExchange.cpp
+++ b/libs/peer/src/ViewExchange.cpp
@@ -114,6 +114,7 @@
   Peer &P = this->Peers[From];
   std::vector<WorkerView> New;
   bool HasGap = Got.After > P.Seen;
+  P.IsAcknowledgementDue |= !Got.Views.empty();
   for (const WorkerView &View : Got.Views) {
     std::optional<WorkerView> Whole = merge(P, View);
     HasGap |= !Whole.has_value();
@@ -127,9 +128,9 @@
   return New;
 }
 
-int64_t ViewExchange::seenOf(const HostId &From) const {
-  auto Found = this->Peers.find(From);
-  return Found == this->Peers.end() ? 0 : Found->second.Seen;
+int64_t ViewExchange::takeAcknowledgement(const HostId &From) {
+  Peer &P = this->Peers[From];
+  return std::exchange(P.IsAcknowledgementDue, false) ? P.Seen : 0;
 }
 
 const std::map<WorkerId, WorkerView> *
--- a/libs/peer/src/ViewExchange.h
+++ b/libs/peer/src/ViewExchange.h
@@ -50,8 +50,10 @@
   /// \returns the views that are new, as whole ones. One that is brief and
   ///          whose rest is not known is left out and not acknowledged.
   std::vector<WorkerView> received(const HostId &From, const Batch &Got);
-  /// Version up to which all views of \p From were received.
-  int64_t seenOf(const HostId &From) const;
+  /// Version up to which all views of \p From were received, if it has sent
+  /// any since the last call, else 0. A lost acknowledgement needs no repeat
+  /// of its own: the views then come again.
+  int64_t takeAcknowledgement(const HostId &From);
 
   const std::map<WorkerId, WorkerView> &own() const { return this->Own; }
   /// Views of the workers that \p Host polls.
@@ -64,6 +66,7 @@
     absl::Time SentAt = absl::InfinitePast();
     absl::Time RefreshedAt = absl::InfinitePast();
     int64_t Seen = 0;
+    bool IsAcknowledgementDue = false;
     std::map<WorkerId, WorkerView> Views;
   };
 
--- a/libs/peer/src/testing/PeerCluster.cpp
+++ b/libs/peer/src/testing/PeerCluster.cpp
@@ -7,7 +7,7 @@
 namespace vanillayard {
 
 PeerCluster::PeerCluster(int Count, int DataCentres, uint64_t Seed)
-    : Network(this->Exec, Seed) {
+    : Network(this->Exec, Seed), Directory(this->Exec) {
   for (int I = 0; I < Count; ++I) {
     Host H;
     int Centre = I % DataCentres;
@@ -15,6 +15,8 @@
     H.DataCentre = DataCentreId(fmt::format("dc{}", Centre + 1));
     H.Address =
         Endpoint(fmt::format("10.0.{}.{}:7400", Centre + 1, I / DataCentres));
+    this->Directory.setHost({H.Id.str(), HostRole::Entry, H.DataCentre,
+                             RackId(), H.Address, HostState::Live});
     this->Hosts.push_back(std::move(H));
   }
 }
@@ -36,6 +38,7 @@
                   .address(H.Address)
                   .incarnation(H.Incarnation)
                   .seeds({this->Hosts[0].Address, this->Hosts[1].Address})
+                  .directory(&this->Directory)
                   .build();
   H.Member->start();
 }
--- a/libs/peer/tests/MembershipFuzzTest.cpp
+++ b/libs/peer/tests/MembershipFuzzTest.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <ostream>
 #include <set>
 #include <string>
 #include <tuple>
@@ -25,7 +26,10 @@
   void step() {
     int Host = this->anyHost();
     int Other = this->anyHost();
-    switch (*rc::gen::inRange(0, 11)) {
+    int Action = *rc::gen::inRange(0, 11);
+    RC_LOG() << absl::FormatTime(this->Cluster.Exec.now()) << " action "
+             << Action << " host " << Host << " other " << Other << std::endl;
+    switch (Action) {
     case 0:
       this->Cluster.crash(Host);
       break;
@@ -93,6 +97,7 @@
   void checkOwnDataCentre(int I) {
     const DataCentreId &Own = this->Cluster.dataCentre(I);
     std::vector<HostId> Running = this->runningIn(Own);
+    RC_LOG() << "host " << I << std::endl;
     RC_ASSERT(this->Cluster[I].liveHosts(Own) == Running);
     RC_ASSERT(this->Cluster[I].planner(Own).has_value());
     std::vector<HostId> Planners;
@@ -110,15 +115,14 @@
         continue;
       WorkerView Got = Views[this->Published[J].Worker];
       Got.Version = 0;
-      RC_LOG() << "host " << I << " worker of " << J << " got slots "
-               << Got.FreeSlots << " of " << Got.TotalSlots << " expected "
-               << this->Published[J].FreeSlots << std::endl;
+      RC_LOG() << "worker of host " << J << std::endl;
       RC_ASSERT(Got == this->Published[J]);
     }
   }
 
   void checkOtherDataCentres(int I) {
     for (const DataCentreId &Of : this->Cluster[I].dataCentres()) {
+      RC_LOG() << "host " << I << " sees " << Of << std::endl;
       RC_ASSERT(this->Cluster[I].liveHosts(Of) == this->runningIn(Of));
       RC_ASSERT(this->runningIn(Of).empty() ||
                 this->Cluster[I].planner(Of).has_value());
--- a/libs/wire/include/wire/Heartbeat.h
+++ b/libs/wire/include/wire/Heartbeat.h
@@ -28,8 +28,11 @@
   Endpoint Address;
   /// Addresses of live hosts that the receiver may not know.
   std::vector<Endpoint> KnownPeers;
-  /// Version up to which the sender has got all of the receiver's views.
+  /// Version up to which the sender has got all views of the receiver's
+  /// process ViewsSeenOf; 0 if there is nothing to acknowledge.
   int64_t ViewsSeen = 0;
+  /// Incarnation of the receiver. Versions begin anew with each process.
+  int64_t ViewsSeenOf = 0;
   std::vector<DataCentreDigest> Digests;
   /// Data centres of which the sender wants the list of hosts in the next
   /// digest.
--- a/libs/wire/peer.thrift
+++ b/libs/wire/peer.thrift
@@ -55,6 +55,7 @@
   9: optional list<string> wanted_hosts_of
   10: optional list<string> warnings
   11: optional i64 views_after
+  12: optional i64 views_seen_of
 }
 
 struct ConfigRequest {
--- a/libs/wire/src/FromThrift.cpp
+++ b/libs/wire/src/FromThrift.cpp
@@ -93,6 +93,7 @@
   Out.KnownPeers = toIds<Endpoint>(std::move(In.known_peers));
   Out.ViewsAfter = In.views_after;
   Out.ViewsSeen = In.views_seen;
+  Out.ViewsSeenOf = In.views_seen_of;
   Out.Digests = toVector(std::move(In.digests));
   Out.WantedHostsOf = toIds<DataCentreId>(std::move(In.wanted_hosts_of));
   Out.Warnings = std::move(In.warnings);
@@ -174,7 +175,7 @@
 static bool isInRange(const thrift_wire::Heartbeat &In) {
   auto IsElementInRange = [](const auto &E) { return isInRange(E); };
   return In.generation >= 0 && In.views_seen >= 0 && In.views_after >= 0 &&
-         isInRange(In.load) &&
+         In.views_seen_of >= 0 && isInRange(In.load) &&
          std::all_of(In.workers.begin(), In.workers.end(), IsElementInRange) &&
          std::all_of(In.digests.begin(), In.digests.end(), IsElementInRange);
 }
--- a/libs/wire/src/ToThrift.cpp
+++ b/libs/wire/src/ToThrift.cpp
@@ -103,6 +103,7 @@
                    [&](auto &V) { Out.__set_known_peers(toStrings(V)); });
   setUnlessDefault(In.ViewsAfter, [&](auto V) { Out.__set_views_after(V); });
   setUnlessDefault(In.ViewsSeen, [&](auto V) { Out.__set_views_seen(V); });
+  setUnlessDefault(In.ViewsSeenOf, [&](auto V) { Out.__set_views_seen_of(V); });
   setUnlessDefault(In.Digests, [&](auto &V) { Out.__set_digests(toList(V)); });
   setUnlessDefault(In.WantedHostsOf,
                    [&](auto &V) { Out.__set_wanted_hosts_of(toStrings(V)); });
--- a/libs/wire/tests/WireCodecTest.cpp
+++ b/libs/wire/tests/WireCodecTest.cpp
@@ -70,6 +70,7 @@
           anyId<Endpoint>(),
           anyList<Endpoint>(anyId<Endpoint>),
           anyCount(),
+          anyCount(),
           anyList<DataCentreDigest>(anyDigest),
           anyList<DataCentreId>(anyId<DataCentreId>),
           *rc::gen::arbitrary<std::vector<std::string>>()};
