--- /dev/null
+++ b/libs/jobs/include/jobs/JobService.h
@@ -0,0 +1,72 @@
+#ifndef VANILLAYARD_JOBS_JOBSERVICE_H
+#define VANILLAYARD_JOBS_JOBSERVICE_H
+
+#include "base/Executor.h"
+#include "config/Configuration.h"
+#include "jobs/JobStore.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace vanillayard {
+
+class JobNotifier;
+
+/// The callers' side of jobs, on every host. Needs no planner on this host.
+class JobService {
+public:
+  template <typename T> using Callback = JobStore::Callback<T>;
+  /// The configuration in force; null if there is none yet.
+  using ConfigurationSource =
+      std::function<std::shared_ptr<const Configuration>()>;
+
+  JobService(Executor &Exec, Store &Service, JobNotifier &Notifier,
+             DataCentreId DataCentre, ConfigurationSource Source);
+  ~JobService();
+
+  /// Accepts a job. \p Key is the idempotency key, or a random one if the
+  /// caller supplies none.
+  /// Errors: InvalidRequest, NotReady, UnknownAccount, UnknownKind,
+  /// NeverFits, KeyReused, PlatformUnavailable, OutcomeUnknown.
+  void submit(const JobSpec &Spec, const std::string &Key,
+              Callback<StoredJob> Done);
+
+  /// Reads a job and, if it has not ended, waits up to \p Wait for its end.
+  /// Errors: NotFound, PlatformUnavailable.
+  void get(const JobId &Id, absl::Duration Wait, Callback<StoredJob> Done);
+
+  /// Cancels a job: at once if it is queued, else the planner stops it. The
+  /// answer is the record as it is now; a job that has ended is not changed.
+  /// Errors: NotFound, PlatformUnavailable, Conflict after repeated races.
+  void cancel(const JobId &Id, Callback<StoredJob> Done);
+
+  /// All jobs, optionally of one account. Error: PlatformUnavailable.
+  void list(const ClientAccountId &Account,
+            Callback<std::vector<StoredJob>> Done);
+
+private:
+  struct Wait;
+
+  static constexpr int MaxCancelTries = 5;
+
+  absl::Status validate(const JobSpec &Spec) const;
+  void cancelOnce(const JobId &Id, int TriesLeft, Callback<StoredJob> Done);
+  void startWait(const StoredJob &Job, absl::Duration Limit,
+                 Callback<StoredJob> Done);
+  void endWait(const std::shared_ptr<Wait> &Waiting);
+  void notify(const StoredJob &Job);
+
+  Executor &Exec;
+  Store &Service;
+  JobStore Jobs;
+  JobNotifier &Notifier;
+  DataCentreId DataCentre;
+  ConfigurationSource Source;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
+
+} // namespace vanillayard
+
+#endif
--- /dev/null
+++ b/libs/jobs/src/JobService.cpp
@@ -0,0 +1,174 @@
+#include "jobs/JobService.h"
+
+#include "base/ErrorKind.h"
+#include "jobs/JobNotifier.h"
+#include "placement/CellTable.h"
+#include "platform/Store.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace vanillayard {
+
+/// Most members of one gang; bounds the size of a record.
+static constexpr int MaxMembers = 1024;
+/// Largest body, so that a record stays below the 1 MB of a value.
+static constexpr size_t MaxBodyBytes = 256 << 10;
+
+/// A caller that waits for the end of a job.
+struct JobService::Wait {
+  JobId Id;
+  Callback<StoredJob> Done;
+  std::unique_ptr<StoreWatch> Watch;
+  Executor::TimerId Timer = 0;
+  bool Ended = false;
+};
+
+JobService::JobService(Executor &Exec, Store &Service, JobNotifier &Notifier,
+                       DataCentreId DataCentre, ConfigurationSource Source)
+    : Exec(Exec), Service(Service), Jobs(Service), Notifier(Notifier),
+      DataCentre(std::move(DataCentre)), Source(std::move(Source)) {}
+
+JobService::~JobService() = default;
+
+absl::Status JobService::validate(const JobSpec &Spec) const {
+  std::shared_ptr<const Configuration> Config = this->Source();
+  if (!Config)
+    return makeError(ErrorKind::NotReady, "there is no configuration yet");
+  if (!Config->findAccount(Spec.Account))
+    return makeError(ErrorKind::UnknownAccount, "no such client account");
+  if (!Config->findKind(Spec.Kind))
+    return makeError(ErrorKind::UnknownKind, "no such kind of work");
+  if (Spec.Shape.Members < 1 || Spec.Shape.Members > MaxMembers)
+    return makeError(ErrorKind::InvalidRequest,
+                     fmt::format("gang_size must be 1 to {}", MaxMembers));
+  if (Spec.Shape.AcceleratorsPerMember < 1)
+    return makeError(ErrorKind::InvalidRequest,
+                     "accelerators_per_member must be at least 1");
+  if (Spec.Shape.AcceleratorsPerMember > MaxAcceleratorsPerWorker)
+    return makeError(ErrorKind::NeverFits, "no worker has that many");
+  if (Spec.DeclaredRunTime < absl::ZeroDuration() ||
+      Spec.Deadline < absl::ZeroDuration())
+    return makeError(ErrorKind::InvalidRequest, "times must not be negative");
+  if (Spec.Body.size() > MaxBodyBytes)
+    return makeError(ErrorKind::PayloadTooLarge,
+                     fmt::format("the limit is {} bytes", MaxBodyBytes));
+  return absl::OkStatus();
+}
+
+void JobService::notify(const StoredJob &Job) {
+  this->Notifier.notify({Job.Record.Id, Job.Record.DataCentre, Job.Record.State,
+                         Job.Record.CancelRequested, Job.ModRevision});
+}
+
+void JobService::submit(const JobSpec &Spec, const std::string &Key,
+                        Callback<StoredJob> Done) {
+  if (absl::Status Valid = this->validate(Spec); !Valid.ok()) {
+    this->Exec.post([Valid, Done = std::move(Done)] { Done(Valid); });
+    return;
+  }
+  JobRecord Record;
+  Record.Id = JobRecord::deriveId(Spec.Account, Key);
+  Record.Spec = Spec;
+  Record.RequestDigest = JobRecord::digestOf(Spec);
+  Record.DataCentre = this->DataCentre;
+  Record.Submitted = this->Exec.now();
+  this->Jobs.create(Record, [this, Done = std::move(Done)](
+                                absl::StatusOr<StoredJob> Created) {
+    if (Created.ok() && !isTerminal(Created->Record.State))
+      this->notify(*Created);
+    Done(std::move(Created));
+  });
+}
+
+void JobService::get(const JobId &Id, absl::Duration Limit,
+                     Callback<StoredJob> Done) {
+  this->Jobs.get(Id, [this, Limit,
+                      Done = std::move(Done)](absl::StatusOr<StoredJob> Found) {
+    if (!Found.ok() || isTerminal(Found->Record.State) ||
+        Limit <= absl::ZeroDuration())
+      return Done(std::move(Found));
+    this->startWait(*Found, Limit, Done);
+  });
+}
+
+void JobService::startWait(const StoredJob &Job, absl::Duration Limit,
+                           Callback<StoredJob> Done) {
+  auto Waiting = std::make_shared<Wait>();
+  Waiting->Id = Job.Record.Id;
+  Waiting->Done = std::move(Done);
+  std::weak_ptr<bool> Weak = this->Alive;
+  // The read at the end does not depend on the watch, which may be silent.
+  auto End = [this, Weak, Waiting] {
+    if (Weak.lock())
+      this->endWait(Waiting);
+  };
+  Waiting->Timer = this->Exec.runAfter(Limit, End);
+  Waiting->Watch = this->Service.watch(
+      Job.Record.key(), Job.ModRevision + 1,
+      [End](const std::vector<WatchEvent> &Events) {
+        for (const WatchEvent &Event : Events) {
+          auto Now = JobStore::decode(Event.Value);
+          if (Event.Deleted || (Now.ok() && isTerminal(Now->Record.State)))
+            return End();
+        }
+      },
+      [](const absl::Status &) {});
+}
+
+void JobService::endWait(const std::shared_ptr<Wait> &Waiting) {
+  if (std::exchange(Waiting->Ended, true))
+    return;
+  this->Exec.cancel(Waiting->Timer);
+  // The watch must not be destroyed from inside its own callback.
+  this->Exec.post([Waiting] { Waiting->Watch.reset(); });
+  this->Jobs.get(Waiting->Id, Waiting->Done);
+}
+
+void JobService::cancel(const JobId &Id, Callback<StoredJob> Done) {
+  this->cancelOnce(Id, MaxCancelTries, std::move(Done));
+}
+
+void JobService::cancelOnce(const JobId &Id, int TriesLeft,
+                            Callback<StoredJob> Done) {
+  auto Updated = [this, Id, TriesLeft, Done](absl::StatusOr<JobUpdate> Result) {
+    if (!Result.ok())
+      return Done(Result.status());
+    if (!Result->Applied && TriesLeft > 1)
+      return this->cancelOnce(Id, TriesLeft - 1, Done);
+    if (!Result->Applied)
+      return Done(makeError(ErrorKind::Conflict, "the job keeps changing"));
+    this->notify(Result->Now);
+    Done(std::move(Result->Now));
+  };
+  this->Jobs.get(Id, [this, Updated, Done](absl::StatusOr<StoredJob> Found) {
+    if (!Found.ok() || isTerminal(Found->Record.State) ||
+        Found->Record.CancelRequested)
+      return Done(std::move(Found));
+    JobRecord Record = Found->Record;
+    Record.CancelRequested = true;
+    // A queued repeatable job may have been started while the service was
+    // down; the planner knows and stops it.
+    if (Record.State == JobState::Queued) {
+      Record.State = JobState::Cancelled;
+      Record.MayHaveRun = Record.Spec.Repeatable || Record.MayHaveRun;
+      Record.Detail = "cancelled while queued";
+    }
+    this->Jobs.update(Record, Found->ModRevision, Updated);
+  });
+}
+
+void JobService::list(const ClientAccountId &Account,
+                      Callback<std::vector<StoredJob>> Done) {
+  this->Jobs.list([Account, Done = std::move(Done)](
+                      absl::StatusOr<std::vector<StoredJob>> All) {
+    if (All.ok() && !Account.empty())
+      std::erase_if(*All, [&Account](const StoredJob &Job) {
+        return Job.Record.Spec.Account != Account;
+      });
+    Done(std::move(All));
+  });
+}
+
+} // namespace vanillayard
--- /dev/null
+++ b/libs/jobs/tests/JobServiceTest.cpp
@@ -0,0 +1,1 @@
+int JobServiceTestPlaceholder;
--- /dev/null
+++ b/libs/jobs/tests/JobsWorld.cpp
@@ -0,0 +1,287 @@
+#include "JobsWorld.h"
+
+#include "base/ErrorKind.h"
+#include "standin_worker/TaskBody.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace vanillayard {
+
+static constexpr absl::Duration StepTime = absl::Milliseconds(100);
+
+Configuration JobsWorld::defaultConfiguration(int Cells) {
+  Configuration Config;
+  Config.Generation = 1;
+  Config.PresetInForce = PresetId("ordinary");
+  Preset Ordinary;
+  Ordinary.Name = Config.PresetInForce;
+  Config.Presets.push_back(Ordinary);
+  KindOfWork Kind;
+  Kind.Name = KindId("separation");
+  Config.Kinds.push_back(Kind);
+  for (const char *Name : {"big", "small", "other"}) {
+    ClientAccount Account;
+    Account.Name = ClientAccountId(Name);
+    Config.Accounts.push_back(Account);
+  }
+  if (Cells > 0)
+    Config.Accounts[0].Guarantees.push_back({DataCentreId("dc1"), 8, 1, Cells});
+  return Config;
+}
+
+JobSpec JobsWorld::spec(const std::string &Account, int Members, int PerMember,
+                        absl::Duration RunTime, bool Repeatable) {
+  JobSpec Spec;
+  Spec.Account = ClientAccountId(Account);
+  Spec.Caller = CallerId("caller");
+  Spec.Kind = KindId("separation");
+  Spec.Repeatable = Repeatable;
+  Spec.Shape = {Members, PerMember, Adjacency::DataCentre};
+  Spec.DeclaredRunTime = RunTime;
+  Spec.Body = TaskBody::make(RunTime);
+  return Spec;
+}
+
+JobsWorld::JobsWorld(int Racks, int WorkersPerRack, int HostCount,
+                     Configuration Used)
+    : Data(std::make_shared<FakeStoreData>()),
+      Config(std::make_shared<const Configuration>(std::move(Used))) {
+  for (int R = 0; R < Racks; ++R)
+    for (int W = 0; W < WorkersPerRack; ++W) {
+      std::string Name = fmt::format("r{}w{}", R, W);
+      Endpoint Address(Name + ":1");
+      this->Fleet.add(Address, WorkerModel::Builder(this->Exec)
+                                   .name(WorkerId(Name))
+                                   .rack(RackId(fmt::format("r{}", R))));
+      this->Addresses.push_back(Address);
+      PlannerWorker Worker;
+      Worker.Id = WorkerId(Name);
+      Worker.Rack = RackId(fmt::format("r{}", R));
+      Worker.Address = Address;
+      this->List.push_back(Worker);
+    }
+  for (int H = 0; H < HostCount; ++H) {
+    this->Hosts.emplace_back();
+    this->makeHost(static_cast<size_t>(H));
+  }
+}
+
+JobsWorld::~JobsWorld() {
+  this->Hosts.clear();
+}
+
+void JobsWorld::makeHost(size_t Index) {
+  JobsHost &Host = this->Hosts[Index];
+  this->Executors.push_back(std::make_unique<PausableExecutor>(this->Exec));
+  Host.Exec = this->Executors.back().get();
+  Host.Service = std::make_unique<FakeStore>(*Host.Exec, this->Data);
+  Host.Workers = std::make_unique<FakeWorkers>(*Host.Exec, this->Fleet);
+  auto Built = PlannerTask::Builder(*Host.Exec, *Host.Service, *Host.Workers)
+                   .host(HostId(fmt::format("e{}", Index)))
+                   .dataCentre(this->DataCentre)
+                   .leaseTtl(LeaseTtl)
+                   .build();
+  Host.Planner = *std::move(Built);
+  Host.Planner->setConfiguration(this->Config);
+  Host.Planner->setWorkers(this->List);
+  Host.Jobs = std::make_unique<JobService>(*Host.Exec, *Host.Service, *this,
+                                           this->DataCentre,
+                                           [this] { return this->Config; });
+}
+
+void JobsWorld::killHost(size_t Index) {
+  JobsHost &Host = this->Hosts[Index];
+  Host.Jobs.reset();
+  Host.Planner.reset();
+  Host.Workers.reset();
+  Host.Service.reset();
+}
+
+void JobsWorld::restartHost(size_t Index) {
+  this->killHost(Index);
+  this->makeHost(Index);
+}
+
+void JobsWorld::shareWorkers() {
+  for (JobsHost &Host : this->Hosts)
+    if (Host.Planner)
+      Host.Planner->setWorkers(this->List);
+}
+
+void JobsWorld::setWorkerDraining(size_t Worker, bool Value) {
+  this->Fleet.model(this->Addresses[Worker]).setDraining(Value);
+  this->List[Worker].Draining = Value;
+  this->shareWorkers();
+}
+
+void JobsWorld::notify(const JobNotice &Notice) {
+  for (JobsHost &Host : this->Hosts)
+    if (Host.Planner && !this->LoseNotices)
+      Host.Exec->post([&Host, Notice] {
+        if (Host.Planner)
+          Host.Planner->onNotice(Notice);
+      });
+}
+
+JobId JobsWorld::submit(const JobSpec &Spec, const std::string &Key,
+                        size_t Host) {
+  JobId Id = JobRecord::deriveId(Spec.Account, Key);
+  if (!this->Hosts[Host].Jobs)
+    return Id;
+  this->Hosts[Host].Jobs->submit(
+      Spec, Key, [this, Id](const absl::StatusOr<StoredJob> &Result) {
+        if (Result.ok())
+          this->Accepted.insert(Id);
+        else if (isProvablyNotRun(Result.status()))
+          this->NotRun.insert(Id);
+      });
+  return Id;
+}
+
+void JobsWorld::cancel(const JobId &Id, size_t Host) {
+  if (this->Hosts[Host].Jobs)
+    this->Hosts[Host].Jobs->cancel(Id, [](const auto &) {});
+}
+
+std::optional<JobRecord> JobsWorld::record(const JobId &Id) const {
+  auto Value = this->Data->read(JobRecord::keyOf(Id));
+  if (!Value)
+    return std::nullopt;
+  auto Record = JobRecord::decode(Value->Value);
+  return Record.ok() ? std::optional(*Record) : std::nullopt;
+}
+
+JobState JobsWorld::stateOf(const JobId &Id) const {
+  auto Found = this->record(Id);
+  return Found ? Found->State : JobState::Queued;
+}
+
+std::vector<ExecutionRecord> JobsWorld::runsOf(const JobId &Id) const {
+  std::vector<ExecutionRecord> Runs = this->Fleet.executions();
+  std::erase_if(Runs, [&Id](const ExecutionRecord &Run) {
+    return Run.Owner != Id.str();
+  });
+  return Runs;
+}
+
+void JobsWorld::fail(const std::string &Text) {
+  if (this->Violation.empty())
+    this->Violation = fmt::format(
+        "at {}: {}",
+        absl::FormatDuration(this->Exec.now() - absl::FromUnixSeconds(1000000)),
+        Text);
+}
+
+void JobsWorld::run(absl::Duration Time) {
+  for (absl::Duration Done; Done < Time; Done += StepTime) {
+    this->Exec.advance(StepTime);
+    this->observe();
+  }
+}
+
+bool JobsWorld::runUntilEnded(absl::Duration Limit) {
+  auto AllEnded = [this] {
+    return std::all_of(
+        this->Accepted.begin(), this->Accepted.end(),
+        [this](const JobId &Id) { return isTerminal(this->stateOf(Id)); });
+  };
+  for (absl::Duration Done; Done < Limit; Done += absl::Seconds(1)) {
+    if (AllEnded())
+      return true;
+    this->run(absl::Seconds(1));
+  }
+  return AllEnded();
+}
+
+static std::string gangOf(const LeaseId &Lease) {
+  return Lease.str().substr(0, Lease.str().rfind('.'));
+}
+
+void JobsWorld::observe() {
+  for (const Endpoint &Address : this->Fleet.addresses()) {
+    WorkerStatus Status = this->Fleet.model(Address).status();
+    for (const LeaseReport &Lease : Status.Leases) {
+      this->SeenLeases.emplace(Lease.Lease, Status.Incarnation);
+      if (Lease.Checkpointed)
+        this->Checkpointed.emplace(Lease.Lease, this->Exec.now());
+    }
+  }
+  std::vector<ExecutionRecord> All = this->Fleet.executions();
+  std::map<std::string, std::vector<const ExecutionRecord *>> Runs;
+  for (const ExecutionRecord &Run : All)
+    if (Run.Owner.compare(0, JobRecord::IdPrefix.size(), JobRecord::IdPrefix) ==
+        0)
+      Runs[gangOf(Run.Lease)].push_back(&Run);
+  for (const auto &[Gang, Members] : Runs)
+    this->checkGang(Gang, Members);
+  this->checkAtMostOnce();
+}
+
+// A gang never starts unless all leases are held; after a member is lost, no
+// member runs longer than the lease time-to-live.
+void JobsWorld::checkGang(const std::string &Gang,
+                          const std::vector<const ExecutionRecord *> &Runs) {
+  GangWatch &Watch = this->Gangs[Gang];
+  int Size = Runs.front()->GangSize;
+  if (!Watch.Started) {
+    Watch.Started = true;
+    std::set<LeaseId> Known;
+    for (const ExecutionRecord *Run : Runs)
+      Known.insert(Run->Lease);
+    for (int I = 0; I < Size; ++I)
+      if (LeaseId Lease(fmt::format("{}.{}", Gang, I));
+          !Known.contains(Lease) && !this->SeenLeases.contains(Lease))
+        this->fail(fmt::format("{} started without lease {}", Gang, I));
+  }
+  absl::Time FirstLost = absl::InfiniteFuture();
+  for (const ExecutionRecord *Run : Runs)
+    if (Run->State != LeaseState::Running && Run->State != LeaseState::Finished)
+      FirstLost = std::min(FirstLost, Run->Ended);
+  // A member without a run is lost when its worker has no lease for it.
+  for (int I = 0; I < Size; ++I) {
+    LeaseId Lease(fmt::format("{}.{}", Gang, I));
+    bool HasRun = std::any_of(
+        Runs.begin(), Runs.end(),
+        [&Lease](const ExecutionRecord *R) { return R->Lease == Lease; });
+    bool IsHeld = false;
+    for (const Endpoint &Address : this->Fleet.addresses())
+      IsHeld = IsHeld || this->Fleet.model(Address).query(Lease).State ==
+                             LeaseState::Held;
+    if (!HasRun && !IsHeld)
+      FirstLost = std::min(FirstLost, this->Exec.now());
+  }
+  Watch.LostSince = std::min(Watch.LostSince, FirstLost);
+  absl::Duration Over = this->Exec.now() - Watch.LostSince;
+  for (const ExecutionRecord *Run : Runs)
+    if (Run->State == LeaseState::Running && Over > LeaseTtl + StepTime)
+      this->fail(fmt::format("{} runs {} after a member was lost",
+                             Run->Lease.str(), absl::FormatDuration(Over)));
+}
+
+// Members of a job that is not repeatable start once; a job that was reclaimed
+// with a checkpoint of every running member goes on under new leases.
+void JobsWorld::checkAtMostOnce() {
+  std::map<std::pair<std::string, int>, const ExecutionRecord *> Last;
+  std::vector<ExecutionRecord> All = this->Fleet.executions();
+  std::sort(All.begin(), All.end(),
+            [](const ExecutionRecord &A, const ExecutionRecord &B) {
+              return A.Started < B.Started;
+            });
+  for (const ExecutionRecord &Run : All) {
+    auto Record = this->record(JobId(Run.Owner));
+    if (this->NotRun.contains(JobId(Run.Owner)))
+      this->fail(Run.Owner + " ran although its caller was told that it did "
+                             "not");
+    if (!Record || Record->Spec.Repeatable)
+      continue;
+    const ExecutionRecord *&Before = Last[{Run.Owner, Run.Member}];
+    if (Before && !this->Checkpointed.contains(Before->Lease))
+      this->fail(
+          fmt::format("member {} of {} started twice", Run.Member, Run.Owner));
+    Before = &Run;
+  }
+}
+
+} // namespace vanillayard
--- /dev/null
+++ b/libs/jobs/tests/PausableExecutor.h
@@ -0,0 +1,52 @@
+#ifndef VANILLAYARD_JOBS_TESTS_PAUSABLEEXECUTOR_H
+#define VANILLAYARD_JOBS_TESTS_PAUSABLEEXECUTOR_H
+
+#include "base/Executor.h"
+
+#include <deque>
+#include <utility>
+
+namespace vanillayard {
+
+/// An executor of one host that can be paused like a stopped process: work and
+/// timers that fall due meanwhile run when it is resumed.
+class PausableExecutor final : public Executor {
+public:
+  explicit PausableExecutor(Executor &Inner) : Inner(Inner) {}
+
+  absl::Time now() const override { return this->Inner.now(); }
+  void post(std::function<void()> Work) override {
+    this->Inner.post(this->wrap(std::move(Work)));
+  }
+  TimerId runAfter(absl::Duration Delay, std::function<void()> Work) override {
+    return this->Inner.runAfter(Delay, this->wrap(std::move(Work)));
+  }
+  void cancel(TimerId Timer) override { this->Inner.cancel(Timer); }
+
+  void setPaused(bool Value) {
+    this->Paused = Value;
+    while (!this->Paused && !this->Waiting.empty()) {
+      this->Inner.post(std::move(this->Waiting.front()));
+      this->Waiting.pop_front();
+    }
+  }
+  bool isPaused() const { return this->Paused; }
+
+private:
+  std::function<void()> wrap(std::function<void()> Work) {
+    return [this, Work = std::move(Work)] {
+      if (this->Paused)
+        this->Waiting.push_back(Work);
+      else
+        Work();
+    };
+  }
+
+  Executor &Inner;
+  bool Paused = false;
+  std::deque<std::function<void()>> Waiting;
+};
+
+} // namespace vanillayard
+
+#endif
