Wire the daemon: tasks, peers, HTTP listeners, shutdown

Cause: the libraries need one process that connects them. Conclusion: the whole path can be tried next.

--- /dev/null
+++ b/libs/daemon/include/daemon/PeerJobLink.h
@@ -0,0 +1,44 @@
+#ifndef VANILLAYARD_DAEMON_PEERJOBLINK_H
+#define VANILLAYARD_DAEMON_PEERJOBLINK_H
+
+#include "daemon/JobLookup.h"
+#include "jobs/JobNotifier.h"
+
+#include <vector>
+
+namespace vanillayard {
+
+class Executor;
+class Membership;
+class PlannerTask;
+
+/// Tells planners of changed job records and asks them for jobs, on this host
+/// or over the peer links.
+class PeerJobLink final : public JobNotifier, public JobLookup {
+public:
+  /// Time that a planner has to answer a query.
+  static constexpr absl::Duration QueryTimeout = absl::Seconds(2);
+
+  PeerJobLink(Executor &Exec, Membership &Peers, PlannerTask &Planner,
+              DataCentreId DataCentre)
+      : Exec(Exec), Peers(Peers), Planner(Planner),
+        DataCentre(std::move(DataCentre)) {}
+
+  void notify(const JobChange &Change) override;
+  void find(const JobId &Id, Callback Done) override;
+
+private:
+  struct Query;
+
+  std::vector<HostId> remotePlanners() const;
+  void ask(const std::shared_ptr<Query> &State);
+
+  Executor &Exec;
+  Membership &Peers;
+  PlannerTask &Planner;
+  DataCentreId DataCentre;
+};
+
+} // namespace vanillayard
+
+#endif
--- /dev/null
+++ b/libs/daemon/src/AdminApi.h
@@ -0,0 +1,39 @@
+#ifndef VANILLAYARD_DAEMON_SRC_ADMINAPI_H
+#define VANILLAYARD_DAEMON_SRC_ADMINAPI_H
+
+#include "daemon/Daemon.h"
+#include "net/HttpResponder.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+namespace vanillayard {
+
+/// Operators' API on the admin listener.
+class AdminApi {
+public:
+  explicit AdminApi(Daemon::Impl &Host) : Host(Host) {}
+
+  void handle(const HttpRequest &Request,
+              const std::shared_ptr<HttpResponder> &Responder);
+
+private:
+  void handleGet(const HttpRequest &Request,
+                 const std::shared_ptr<HttpResponder> &Responder);
+  void handlePost(const HttpRequest &Request,
+                  const std::shared_ptr<HttpResponder> &Responder);
+  void listJobs(const std::shared_ptr<HttpResponder> &Responder);
+  void drain(const HttpRequest &Request,
+             const std::shared_ptr<HttpResponder> &Responder);
+  nlohmann::json status() const;
+  nlohmann::json peers() const;
+  nlohmann::json workers() const;
+  nlohmann::json queues() const;
+  nlohmann::json warnings() const;
+  void refreshMetrics();
+
+  Daemon::Impl &Host;
+};
+
+} // namespace vanillayard
+
+#endif
--- /dev/null
+++ b/libs/daemon/src/DaemonImpl.h
@@ -0,0 +1,110 @@
+#ifndef VANILLAYARD_DAEMON_SRC_DAEMONIMPL_H
+#define VANILLAYARD_DAEMON_SRC_DAEMONIMPL_H
+
+#include "daemon/Daemon.h"
+
+#include "AdminApi.h"
+#include "PeerConfigurationSource.h"
+#include "PeerRouter.h"
+#include "config/Settings.h"
+#include "configsync/ConfigurationTask.h"
+#include "daemon/JobApi.h"
+#include "daemon/PeerForwarder.h"
+#include "daemon/PeerJobLink.h"
+#include "daemon/RequestApi.h"
+#include "daemon/WorkerMonitor.h"
+#include "endpoint/HttpWorkerClient.h"
+#include "jobs/JobService.h"
+#include "jobs/PlannerTask.h"
+#include "net/H2oHttpClient.h"
+#include "net/HttpServer.h"
+#include "net/LoopExecutor.h"
+#include "observe/HybridLogicalClock.h"
+#include "observe/Log.h"
+#include "observe/Metrics.h"
+#include "observe/Timeline.h"
+#include "observe/WarningCenter.h"
+#include "peer/Membership.h"
+#include "peer/TcpPeerTransport.h"
+#include "platform/EtcdStore.h"
+#include "platform/HttpHostDirectory.h"
+#include "requests/RequestTask.h"
+
+#include <set>
+
+namespace vanillayard {
+
+class Daemon::Impl {
+public:
+  Impl(LoopExecutor &Loop, const Settings &Options);
+  ~Impl();
+
+  absl::Status build();
+  void shutDown(std::function<void()> Done);
+
+  absl::Status buildPeers();
+  absl::Status buildRequests();
+  absl::Status buildJobs();
+  absl::Status buildWorkers();
+  absl::Status buildServers();
+  void buildConfiguration();
+
+  void configurationChanged();
+  void workerChanged(const WorkerView &View);
+  void plannerRoleChanged(bool IsPlanner);
+  void handleCaller(const HttpRequest &Request,
+                    const std::shared_ptr<HttpResponder> &Responder);
+  /// Regular work: load report, worker ownership, warnings, planner's list.
+  void tick();
+  void fetchHostList();
+  void reportLoad();
+  void updatePlannerWorkers();
+  void checkWarnings();
+  void finishShutdown();
+  bool isReady() const;
+
+  LoopExecutor &Loop;
+  Settings Options;
+  int64_t Incarnation;
+  Log Output;
+  Metrics Registry;
+  HybridLogicalClock Clock;
+  Timeline Events;
+  WarningCenter Warnings;
+  H2oHttpClient Http;
+  EtcdStore Service;
+  HttpHostDirectory Directory;
+  HttpWorkerClient Workers;
+  std::unique_ptr<TcpPeerTransport> Transport;
+  std::unique_ptr<Membership> Peers;
+  std::unique_ptr<PeerConfigurationSource> ConfigSource;
+  std::unique_ptr<ConfigurationTask> Config;
+  std::unique_ptr<PeerForwarder> Forwarder;
+  std::unique_ptr<RequestTask> Requests;
+  std::unique_ptr<PlannerTask> Planner;
+  std::unique_ptr<PeerJobLink> JobLink;
+  std::unique_ptr<JobService> Jobs;
+  std::unique_ptr<WorkerMonitor> Monitor;
+  std::unique_ptr<PeerRouter> Router;
+  std::unique_ptr<RequestApi> RequestHandler;
+  std::unique_ptr<JobApi> JobHandler;
+  std::unique_ptr<AdminApi> AdminHandler;
+  std::unique_ptr<HttpServer> CallerServer;
+  std::unique_ptr<HttpServer> AdminServer;
+
+  std::shared_ptr<const Configuration> InForce;
+  std::set<WorkerId> Published;
+  bool PlannerWorkersChanged = false;
+  bool IsLeaving = false;
+  bool RequestsIdle = false;
+  absl::Time ShutdownDeadline = absl::InfiniteFuture();
+  absl::Time LastHostList = absl::InfinitePast();
+  absl::Time NextHostList = absl::InfinitePast();
+  bool HostListInFlight = false;
+  Executor::TimerId TickTimer = 0;
+  std::function<void()> ShutdownDone;
+};
+
+} // namespace vanillayard
+
+#endif
--- /dev/null
+++ b/libs/daemon/src/DaemonWork.cpp
@@ -0,0 +1,197 @@
+#include "DaemonImpl.h"
+
+#include "jobs/PlannerWorker.h"
+#include "platform/HostDirectory.h"
+#include "requests/WorkerCapacity.h"
+#include "wire/LoadSummary.h"
+
+namespace vanillayard {
+
+/// Time between two rounds of regular work.
+static constexpr absl::Duration TickInterval = absl::Milliseconds(250);
+/// Time between the first sign of a shutdown to the balancer and the closing
+/// of the listener.
+static constexpr absl::Duration BalancerNotice = absl::Seconds(1);
+/// Age of the host list above which it counts as stale.
+static constexpr absl::Duration StaleHostList = absl::Minutes(2);
+
+bool Daemon::Impl::isReady() const {
+  return this->InForce != nullptr && !this->IsLeaving;
+}
+
+void Daemon::Impl::configurationChanged() {
+  this->InForce = this->Config->current();
+  this->Requests->configure(*this->InForce);
+  this->RequestHandler->configure(this->InForce);
+  this->Planner->setConfiguration(this->InForce);
+  this->Peers->setGeneration(this->InForce->Generation);
+  this->Warnings.clear({WarningCondition::NoConfiguration, ""});
+  std::string Generation = std::to_string(this->InForce->Generation);
+  this->Events.record("configuration in force", "configuration", Generation,
+                      TimelinePhase::Instant,
+                      {{"preset", this->InForce->PresetInForce.str()}});
+  this->Output.info("configuration", "in force",
+                    {{"generation", this->InForce->Generation},
+                     {"preset", this->InForce->PresetInForce}});
+}
+
+void Daemon::Impl::workerChanged(const WorkerView &View) {
+  WorkerCapacity Capacity;
+  Capacity.Id = View.Worker;
+  Capacity.Address = View.Address;
+  Capacity.Slots = View.TotalSlots;
+  Capacity.FreeSlots = View.FreeSlots;
+  const WorkerStatus *Status = this->Monitor->lastStatus(View.Worker);
+  // Views of other hosts do not carry the connections; slots then bound the
+  // concurrency.
+  Capacity.Connections = Status ? Status->Connections : View.TotalSlots;
+  Capacity.Draining = View.Draining;
+  Capacity.Ejected = View.Ejected;
+  this->Requests->updateWorker(Capacity);
+  if (this->Peers->ownsWorker(View.Worker)) {
+    this->Published.insert(View.Worker);
+    this->Peers->publishWorker(View);
+  }
+  this->PlannerWorkersChanged = true;
+}
+
+void Daemon::Impl::plannerRoleChanged(bool IsPlanner) {
+  this->Events.record(IsPlanner ? "planner role taken" : "planner role given up",
+                      "membership", this->Options.DataCentre.str());
+  this->Output.info("membership", "planner role changed",
+                    {{"is_planner", IsPlanner}});
+  this->updatePlannerWorkers();
+  this->Planner->setPlanner(IsPlanner && !this->IsLeaving);
+}
+
+void Daemon::Impl::updatePlannerWorkers() {
+  std::vector<PlannerWorker> List;
+  for (const WorkerView &View : this->Monitor->allViews()) {
+    if (View.TotalSlots == 0)
+      continue;
+    PlannerWorker Worker;
+    Worker.Id = View.Worker;
+    Worker.Rack = View.Rack;
+    Worker.Address = View.Address;
+    Worker.Accelerators = View.Accelerators;
+    Worker.Slots = View.TotalSlots;
+    Worker.Draining = View.Draining;
+    Worker.Ejected = View.Ejected;
+    List.push_back(std::move(Worker));
+  }
+  this->Planner->setWorkers(List);
+  this->PlannerWorkersChanged = false;
+}
+
+void Daemon::Impl::tick() {
+  if (this->Loop.now() >= this->NextHostList && !this->HostListInFlight)
+    this->fetchHostList();
+  std::erase_if(this->Published, [this](const WorkerId &Id) {
+    if (this->Peers->ownsWorker(Id))
+      return false;
+    this->Peers->withdrawWorker(Id);
+    return true;
+  });
+  if (this->PlannerWorkersChanged)
+    this->updatePlannerWorkers();
+  this->Forwarder->refreshLoads();
+  this->reportLoad();
+  this->checkWarnings();
+  this->Output.flushSuppressed();
+  if (this->IsLeaving)
+    this->finishShutdown();
+  this->TickTimer =
+      this->Loop.runAfter(TickInterval, [this] { this->tick(); });
+}
+
+void Daemon::Impl::fetchHostList() {
+  this->HostListInFlight = true;
+  this->Directory.fetch([this](const absl::StatusOr<HostList> &List) {
+    this->HostListInFlight = false;
+    this->NextHostList = this->Loop.now() + this->Options.HostListInterval;
+    if (!List.ok())
+      return;
+    this->LastHostList = this->Loop.now();
+    this->Monitor->applyHostList(*List);
+  });
+}
+
+void Daemon::Impl::reportLoad() {
+  LoadSummary Load;
+  Load.QueuedNormal = static_cast<int64_t>(this->Requests->queuedCount());
+  Load.QueueDelay = this->Requests->queueDelay();
+  for (const WorkerView &View : this->Monitor->ownedViews()) {
+    if (View.Draining || View.Ejected)
+      continue;
+    Load.FreeSlots += View.FreeSlots;
+    Load.TotalSlots += View.TotalSlots;
+  }
+  this->Peers->setLoad(Load);
+}
+
+void Daemon::Impl::checkWarnings() {
+  this->Warnings.setRank(this->Peers->rank());
+  auto Set = [this](WarningCondition Condition, bool Holds,
+                    const std::string &Detail) {
+    WarningKey Key{Condition, ""};
+    if (Holds)
+      this->Warnings.raise(Key, Detail);
+    else
+      this->Warnings.clear(Key);
+  };
+  Set(WarningCondition::NoConfiguration, !this->InForce,
+      "this host has no configuration and refuses requests");
+  Set(WarningCondition::StoreUnavailable, !this->Config->isStoreReachable(),
+      "the platform's key-value service does not answer");
+  Set(WarningCondition::HostListStale,
+      this->Loop.now() - this->LastHostList > StaleHostList,
+      "the platform's host list cannot be read");
+  size_t Excluded = this->Monitor->unreachableCount();
+  size_t All = this->Monitor->allViews().size();
+  Set(WarningCondition::ManyWorkersExcluded, Excluded * 3 > All,
+      std::to_string(Excluded) + " of " + std::to_string(All) +
+          " workers do not answer");
+  std::vector<std::string> Names;
+  for (const WarningKey &Key : this->Warnings.announced()) {
+    std::string Name(warningRuleFor(Key.Condition).Name);
+    Names.push_back(Key.Subject.empty() ? Name : Name + "/" + Key.Subject);
+  }
+  this->Peers->setWarnings(std::move(Names));
+}
+
+void Daemon::Impl::shutDown(std::function<void()> Done) {
+  if (this->IsLeaving) {
+    this->ShutdownDone = std::move(Done);
+    return;
+  }
+  this->IsLeaving = true;
+  this->ShutdownDone = std::move(Done);
+  this->ShutdownDeadline = this->Loop.now() + this->Options.ShutdownGrace;
+  this->Output.info("daemon", "graceful shutdown begins");
+  this->Events.record("leaving", "daemon", this->Options.Host.str());
+  this->Peers->leave();
+  this->Planner->setPlanner(false);
+  this->Loop.runAfter(BalancerNotice, [this] {
+    this->CallerServer->stopAccepting();
+    this->JobHandler->answerWaiting();
+    this->Requests->shutdown([this] { this->RequestsIdle = true; });
+  });
+}
+
+void Daemon::Impl::finishShutdown() {
+  bool IsIdle =
+      this->RequestsIdle && this->CallerServer->requestsInProgress() == 0;
+  bool IsLate = this->Loop.now() >= this->ShutdownDeadline;
+  if (!IsIdle && !IsLate)
+    return;
+  if (!this->ShutdownDone)
+    return;
+  this->Output.info("daemon", "graceful shutdown ends",
+                    {{"idle", IsIdle},
+                     {"requests_left", this->Requests->liveCount()}});
+  std::function<void()> Done = std::move(this->ShutdownDone);
+  this->ShutdownDone = nullptr;
+  Done();
+}
+
+} // namespace vanillayard
--- /dev/null
+++ b/libs/daemon/src/PeerConfigurationSource.cpp
@@ -0,0 +1,24 @@
+#include "PeerConfigurationSource.h"
+
+#include "peer/Membership.h"
+#include "wire/Envelope.h"
+
+namespace vanillayard {
+
+static constexpr absl::Duration ReplyTimeout = absl::Seconds(1);
+
+void PeerConfigurationSource::fetch(const HostId &Host, int64_t HaveGeneration,
+                                    Callback Done) {
+  this->Peers.request(
+      Host, ConfigRequest{HaveGeneration}, ReplyTimeout,
+      [Done = std::move(Done)](const absl::StatusOr<Envelope> &Reply) {
+        if (!Reply.ok())
+          return Done(Reply.status());
+        const auto *Answer = std::get_if<ConfigReply>(&Reply->Message);
+        if (!Answer)
+          return Done(absl::InternalError("the peer sent another message"));
+        Done(Answer->Document);
+      });
+}
+
+} // namespace vanillayard
--- /dev/null
+++ b/libs/daemon/src/PeerConfigurationSource.h
@@ -0,0 +1,24 @@
+#ifndef VANILLAYARD_DAEMON_SRC_PEERCONFIGURATIONSOURCE_H
+#define VANILLAYARD_DAEMON_SRC_PEERCONFIGURATIONSOURCE_H
+
+#include "configsync/ConfigurationPeers.h"
+
+namespace vanillayard {
+
+class Membership;
+
+/// ConfigurationPeers over the peer links.
+class PeerConfigurationSource final : public ConfigurationPeers {
+public:
+  explicit PeerConfigurationSource(Membership &Peers) : Peers(Peers) {}
+
+  void fetch(const HostId &Host, int64_t HaveGeneration,
+             Callback Done) override;
+
+private:
+  Membership &Peers;
+};
+
+} // namespace vanillayard
+
+#endif
--- a/libs/jobs/include/jobs/JobNotifier.h
+++ b/libs/jobs/include/jobs/JobNotifier.h
@@ -9,7 +9,7 @@
 namespace vanillayard {
 
 /// Says that a job record was written. Small enough to be sent to a peer.
-struct JobNotice {
+struct JobChange {
   JobId Job;
   DataCentreId DataCentre;
   JobState State = JobState::Queued;
@@ -22,7 +22,7 @@
 class JobNotifier {
 public:
   virtual ~JobNotifier() = default;
-  virtual void notify(const JobNotice &Notice) = 0;
+  virtual void notify(const JobChange &Notice) = 0;
 };
 
 } // namespace vanillayard
--- a/libs/jobs/include/jobs/PlannerTask.h
+++ b/libs/jobs/include/jobs/PlannerTask.h
@@ -99,7 +99,7 @@
   /// Whether a data centre answers no host of this one.
   void setDataCentreLost(const DataCentreId &Dc, bool Lost);
   /// A record was written. May be called on any host; ignored if not active.
-  void onNotice(const JobNotice &Notice);
+  void onJobChange(const JobChange &Notice);
 
   /// The planner's view of a job, for followers while the store is down; null
   /// if it is not known here.
--- a/libs/jobs/src/PlannerBuilder.cpp
+++ b/libs/jobs/src/PlannerBuilder.cpp
@@ -91,8 +91,8 @@
   this->State->setDataCentreLost(Dc, Lost);
 }
 
-void PlannerTask::onNotice(const JobNotice &Notice) {
-  this->State->onNotice(Notice);
+void PlannerTask::onJobChange(const JobChange &Notice) {
+  this->State->onJobChange(Notice);
 }
 
 const JobRecord *PlannerTask::find(const JobId &Id) const {
--- a/libs/jobs/src/PlannerImpl.h
+++ b/libs/jobs/src/PlannerImpl.h
@@ -31,7 +31,7 @@
   void setConfiguration(std::shared_ptr<const Configuration> Value);
   void setWorkers(const std::vector<PlannerWorker> &List);
   void setDataCentreLost(const DataCentreId &Dc, bool Lost);
-  void onNotice(const JobNotice &Notice);
+  void onJobChange(const JobChange &Notice);
 
   bool Active = false;
   /// Jobs that have not ended, by id.
@@ -54,7 +54,7 @@
   void adoptPlaced(const StoredJob &Found);
   void takeOver(const StoredJob &Found);
   void processNotices();
-  void processNotice(const JobNotice &Notice);
+  void processNotice(const JobChange &Notice);
   void sweep();
   void onSwept(const PlannerWorker &Worker, const WorkerStatus &Status);
   void noteStore(bool Answers);
@@ -187,7 +187,7 @@
   bool StoreAnswers = true;
   std::vector<StoredJob> ListedAtStart;
   std::vector<std::pair<LeaseReport, WorkerId>> FoundAtStart;
-  std::deque<JobNotice> Notices;
+  std::deque<JobChange> Notices;
   bool NoticesPosted = false;
   std::map<DataCentreId, absl::Time> LostSince;
   std::vector<absl::Time> Ends;
--- a/libs/jobs/src/PlannerRecords.cpp
+++ b/libs/jobs/src/PlannerRecords.cpp
@@ -147,7 +147,7 @@
       }));
 }
 
-void PlannerTask::Impl::onNotice(const JobNotice &Notice) {
+void PlannerTask::Impl::onJobChange(const JobChange &Notice) {
   if (!this->Active || Notice.DataCentre != this->Options.DataCentre)
     return;
   this->Notices.push_back(Notice);
@@ -170,7 +170,7 @@
     return;
   }
   for (size_t I = 0; I < MaxNoticesPerBatch && !this->Notices.empty(); ++I) {
-    JobNotice Notice = std::move(this->Notices.front());
+    JobChange Notice = std::move(this->Notices.front());
     this->Notices.pop_front();
     this->processNotice(Notice);
   }
@@ -181,7 +181,7 @@
       this->whileActive([this] { this->processNotices(); }));
 }
 
-void PlannerTask::Impl::processNotice(const JobNotice &Notice) {
+void PlannerTask::Impl::processNotice(const JobChange &Notice) {
   auto Known = this->Jobs.find(Notice.Job);
   bool IsQueued =
       Known != this->Jobs.end() && Known->second->Phase == JobPhase::Queued;
--- a/libs/jobs/tests/JobsWorld.cpp
+++ b/libs/jobs/tests/JobsWorld.cpp
@@ -116,12 +116,12 @@
   this->shareWorkers();
 }
 
-void JobsWorld::notify(const JobNotice &Notice) {
+void JobsWorld::notify(const JobChange &Notice) {
   for (JobsHost &Host : this->Hosts)
     if (Host.Planner && !this->LoseNotices)
       Host.Exec->post([&Host, Notice] {
         if (Host.Planner)
-          Host.Planner->onNotice(Notice);
+          Host.Planner->onJobChange(Notice);
       });
 }
 
--- a/libs/jobs/tests/JobsWorld.h
+++ b/libs/jobs/tests/JobsWorld.h
@@ -50,7 +50,7 @@
   std::optional<JobRecord> record(const JobId &Id) const;
   JobState stateOf(const JobId &Id) const;
 
-  void notify(const JobNotice &Notice) override;
+  void notify(const JobChange &Notice) override;
 
   /// Moves the clock in small steps and checks the oracle after each.
   void run(absl::Duration Time);
