--- a/standins/worker/src/Main.cpp
+++ b/standins/worker/src/Main.cpp
@@ -21,6 +21,9 @@
 ABSL_FLAG(std::string, rack, "rack",
           "rack of the worker, or the prefix of the names of several racks");
 ABSL_FLAG(int, workers, 1, "number of workers in this process");
+ABSL_FLAG(int, first, 0,
+          "workers that other processes of the same fleet host; the numbers "
+          "of workers and racks start after them");
 ABSL_FLAG(int, workers_per_rack, 0,
           "workers in each rack; 0 puts all in one rack");
 ABSL_FLAG(int, slots, 8, "slots of each worker");
@@ -54,11 +57,12 @@
 static absl::StatusOr<HostedWorker> hostWorker(LoopExecutor &Loop, int Index) {
   HostedWorker Worker;
   int PerRack = absl::GetFlag(FLAGS_workers_per_rack);
-  Worker.Name = numbered(absl::GetFlag(FLAGS_name), Index + 1,
-                         absl::GetFlag(FLAGS_workers) > 1);
+  int Number = absl::GetFlag(FLAGS_first) + Index;
+  bool Many = absl::GetFlag(FLAGS_workers) > 1 || PerRack > 0;
+  Worker.Name = numbered(absl::GetFlag(FLAGS_name), Number + 1, Many);
   std::string Rack =
-      numbered(absl::GetFlag(FLAGS_rack), PerRack > 0 ? Index / PerRack + 1 : 0,
-               PerRack > 0);
+      numbered(absl::GetFlag(FLAGS_rack),
+               PerRack > 0 ? Number / PerRack + 1 : 0, PerRack > 0);
   auto Model = WorkerModel::Builder(Loop)
                    .name(WorkerId(Worker.Name))
                    .rack(RackId(Rack))
--- /dev/null
+++ b/testing/include/testing/WorkerNode.h
@@ -0,0 +1,22 @@
+#ifndef VANILLAYARD_TESTING_WORKERNODE_H
+#define VANILLAYARD_TESTING_WORKERNODE_H
+
+#include "base/Ids.h"
+
+#include <cstddef>
+
+namespace vanillayard {
+
+/// A stand-in worker of a Cluster.
+struct WorkerNode {
+  WorkerId Name;
+  DataCentreId DataCentre;
+  RackId Rack;
+  Endpoint Address;
+  /// Index of its process; several workers may share one.
+  size_t Process = 0;
+};
+
+} // namespace vanillayard
+
+#endif
