--- a/libs/daemon/src/Daemon.cpp
+++ b/libs/daemon/src/Daemon.cpp
@@ -57,9 +57,7 @@
 Daemon::Impl::~Impl() { this->Loop.cancel(this->TickTimer); }
 
 absl::Status Daemon::Impl::build() {
-  auto Level = LogLevelNames.parse(LogLevelChoiceNames.nameOf(
-      this->Options.LogLevel));
-  this->Output.setMinimum(Level.value_or(LogLevel::Info));
+  this->Output.setMinimum(this->Options.MinimumLogLevel);
   for (auto Step : {&Impl::buildPeers, &Impl::buildRequests, &Impl::buildJobs,
                     &Impl::buildWorkers}) {
     absl::Status Status = (this->*Step)();
