--- a/libs/config/include/config/PolicyChoices.h
+++ b/libs/config/include/config/PolicyChoices.h
@@ -13,7 +13,6 @@
 enum class PlacementChoice { Cells, FirstFit };
 /// Whether retries are bounded. Unlimited is the baseline.
 enum class RetryChoice { Budget, Unlimited };
-enum class LogLevelChoice { Debug, Info, Warning, Error };
 
 inline constexpr EnumNames<QueueChoice, 2>
     QueueChoiceNames({{{QueueChoice::WeightedFair, "weighted_fair"},
@@ -26,12 +25,6 @@
                            {PlacementChoice::FirstFit, "first_fit"}}});
 inline constexpr EnumNames<RetryChoice, 2> RetryChoiceNames(
     {{{RetryChoice::Budget, "budget"}, {RetryChoice::Unlimited, "unlimited"}}});
-inline constexpr EnumNames<LogLevelChoice, 4>
-    LogLevelChoiceNames({{{LogLevelChoice::Debug, "debug"},
-                          {LogLevelChoice::Info, "info"},
-                          {LogLevelChoice::Warning, "warning"},
-                          {LogLevelChoice::Error, "error"}}});
-
 } // namespace vanillayard
 
 #endif
--- a/libs/config/include/config/Settings.h
+++ b/libs/config/include/config/Settings.h
@@ -3,6 +3,7 @@
 
 #include "base/Ids.h"
 #include "config/PolicyChoices.h"
+#include "observe/LogLevel.h"
 
 #include "absl/status/statusor.h"
 #include "absl/time/time.h"
@@ -60,7 +61,7 @@
   WorkerSelectionChoice WorkerSelection = WorkerSelectionChoice::PowerOfTwo;
   PlacementChoice Placement = PlacementChoice::Cells;
   RetryChoice Retry = RetryChoice::Budget;
-  LogLevelChoice LogLevel = LogLevelChoice::Info;
+  LogLevel MinimumLogLevel = LogLevel::Info;
 
   /// Parses a JSON document. Unknown, missing and out-of-range values are
   /// refused.
--- a/libs/config/include/config/SettingsBuilder.h
+++ b/libs/config/include/config/SettingsBuilder.h
@@ -52,7 +52,7 @@
   Builder &workerSelection(WorkerSelectionChoice Value);
   Builder &placement(PlacementChoice Value);
   Builder &retry(RetryChoice Value);
-  Builder &logLevel(LogLevelChoice Value);
+  Builder &logLevel(LogLevel Value);
 
   /// Checks all values. Error as for Settings::parse().
   absl::StatusOr<Settings> build() const;
--- a/libs/config/src/Settings.cpp
+++ b/libs/config/src/Settings.cpp
@@ -69,7 +69,7 @@
              Result.WorkerSelection);
   readChoice(Policy, "placement", PlacementChoiceNames, Result.Placement);
   readChoice(Policy, "retry", RetryChoiceNames, Result.Retry);
-  readChoice(Document, "log_level", LogLevelChoiceNames, Result.LogLevel);
+  readChoice(Document, "log_level", LogLevelNames, Result.MinimumLogLevel);
   return Result;
 }
 
@@ -150,7 +150,7 @@
          nameIn(WorkerSelectionChoiceNames, this->WorkerSelection)},
         {"placement", nameIn(PlacementChoiceNames, this->Placement)},
         {"retry", nameIn(RetryChoiceNames, this->Retry)}}},
-      {"log_level", nameIn(LogLevelChoiceNames, this->LogLevel)}};
+      {"log_level", nameIn(LogLevelNames, this->MinimumLogLevel)}};
   if (!this->PeerAdvertise.empty())
     Document["peer_advertise"] = this->PeerAdvertise.str();
   json Seeds = json::array();
--- a/libs/config/src/SettingsBuilder.cpp
+++ b/libs/config/src/SettingsBuilder.cpp
@@ -111,8 +111,8 @@
   return *this;
 }
 
-Builder &Builder::logLevel(LogLevelChoice Value) {
-  this->Result.LogLevel = Value;
+Builder &Builder::logLevel(LogLevel Value) {
+  this->Result.MinimumLogLevel = Value;
   return *this;
 }
 
--- a/libs/config/tests/SettingsTest.cpp
+++ b/libs/config/tests/SettingsTest.cpp
@@ -40,7 +40,7 @@
                    .workerSelection(WorkerSelectionChoice::Random)
                    .placement(PlacementChoice::FirstFit)
                    .retry(RetryChoice::Unlimited)
-                   .logLevel(LogLevelChoice::Debug)
+                   .logLevel(LogLevel::Debug)
                    .build();
   ASSERT_TRUE(Built.ok()) << Built.status();
   json Expected = json::parse(R"({
--- /dev/null
+++ b/libs/platform/include/platform/EtcdStore.h
@@ -0,0 +1,72 @@
+#ifndef VANILLAYARD_PLATFORM_ETCDSTORE_H
+#define VANILLAYARD_PLATFORM_ETCDSTORE_H
+
+#include "base/Ids.h"
+#include "net/HttpClient.h"
+#include "platform/Store.h"
+
+#include "absl/container/flat_hash_set.h"
+#include "absl/time/time.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace vanillayard {
+
+class Executor;
+
+/// Store over the etcd v3 HTTP/JSON gateway.
+///
+/// A batch of writes is one transaction with a nested one for each write.
+/// Destroying the store ends its calls without a callback; its watches must
+/// be destroyed before the HTTP client.
+class EtcdStore final : public Store {
+public:
+  /// The service takes at most 128 operations in a transaction by default;
+  /// longer batches are sent as several calls.
+  static constexpr size_t MaxWritesPerCall = 100;
+  /// Bytes of keys and values in one call with several writes. The service
+  /// takes requests up to 1.5 MB by default.
+  static constexpr size_t MaxBytesPerCall = 1000000;
+  /// Keys that one call of list() reads at most; longer lists take several
+  /// calls, all at the revision of the first.
+  static constexpr int KeysPerPage = 200;
+
+  /// \param Timeout time after which a call, or opening a watch, fails.
+  EtcdStore(HttpClient &Http, Executor &Exec, Endpoint Address,
+            absl::Duration Timeout);
+  ~EtcdStore() override;
+  EtcdStore(const EtcdStore &) = delete;
+  EtcdStore &operator=(const EtcdStore &) = delete;
+
+  void get(const std::string &Key, RangeCallback Done) override;
+  void list(const std::string &Prefix, RangeCallback Done) override;
+  void write(std::vector<ConditionalWrite> Writes, WriteCallback Done) override;
+  std::unique_ptr<StoreWatch> watch(const std::string &Prefix,
+                                    int64_t FromRevision, WatchCallback Changed,
+                                    WatchEndCallback Ended) override;
+
+private:
+  struct ListState;
+  struct Batch;
+
+  using JsonCallback = std::function<void(absl::StatusOr<nlohmann::json>)>;
+
+  void call(const std::string &Path, const nlohmann::json &Body,
+            JsonCallback Done);
+  void nextPage(std::shared_ptr<ListState> State);
+  void writePart(const std::shared_ptr<Batch> &All, size_t First, size_t Count);
+
+  HttpClient &Http;
+  Executor &Exec;
+  Endpoint Address;
+  absl::Duration Timeout;
+  absl::flat_hash_set<HttpClient::CallId> OpenCalls;
+};
+
+} // namespace vanillayard
+
+#endif
--- /dev/null
+++ b/libs/platform/src/EtcdJson.h
@@ -0,0 +1,41 @@
+#ifndef VANILLAYARD_PLATFORM_ETCDJSON_H
+#define VANILLAYARD_PLATFORM_ETCDJSON_H
+
+#include "platform/Store.h"
+
+#include "absl/status/statusor.h"
+
+#include <nlohmann/json.hpp>
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace vanillayard {
+
+/// Makes a PlatformUnavailable error.
+absl::Status platformError(std::string_view Detail);
+
+/// End of the range of all keys that begin with \p Prefix.
+std::string prefixEnd(const std::string &Prefix);
+
+/// Body of a range call. \p Limit 0 and \p Revision 0 are left out.
+nlohmann::json rangeRequest(const std::string &Key, const std::string &End,
+                            int Limit, int64_t Revision);
+nlohmann::json watchRequest(const std::string &Prefix, int64_t FromRevision);
+/// Body of a txn call: one nested transaction for each write.
+nlohmann::json txnRequest(std::span<const ConditionalWrite> Writes);
+
+/// The parsers below refuse what does not have the form of the protocol, with
+/// PlatformUnavailable.
+absl::StatusOr<RangeResult> parseRange(const nlohmann::json &Answer);
+absl::StatusOr<std::vector<WriteResult>>
+parseTxn(const nlohmann::json &Answer,
+         std::span<const ConditionalWrite> Writes);
+absl::StatusOr<std::vector<WatchEvent>>
+parseEvents(const nlohmann::json &Result);
+
+} // namespace vanillayard
+
+#endif
--- a/libs/platform/tests/StoreContract.cpp
+++ b/libs/platform/tests/StoreContract.cpp
@@ -62,22 +62,19 @@
       rc::gen::inRange(0, 6), rc::gen::inRange(0, 4), rc::gen::inRange(0, 5));
 }
 
-static std::string keyName(int Key) {
-  return "/t/" + std::to_string(Key);
-}
-
 // Guards against a lost or wrongly applied compare-and-swap, against one
 // refused write that holds back the rest of its batch, and against a watch
 // that misses a change or passes changes on out of order.
 TEST_P(StoreContractTest, BatchesAndWatchMatchAModel) {
   // Bytes that JSON and base64 must carry unchanged.
   const std::string Odd("\0\xff\"\n\xc3", 5);
+  int Cases = 0;
   EXPECT_TRUE(rc::check([&] {
-    this->SetUp();
+    const std::string Prefix = "/t" + std::to_string(++Cases) + "/";
     std::map<std::string, StoredValue> Model;
     std::map<std::string, StoredValue> Watched;
     auto Watch = this->Env->store().watch(
-        "/t/", 1,
+        Prefix, 1,
         [&](const std::vector<WatchEvent> &Events) {
           for (const WatchEvent &Event : Events) {
             RC_ASSERT(Event.Value.ModRevision >=
@@ -96,7 +93,7 @@
       std::vector<ConditionalWrite> Writes;
       std::map<std::string, bool> Used;
       for (const Step &S : Steps) {
-        std::string Key = keyName(S.Key);
+        std::string Key = Prefix + std::to_string(S.Key);
         if (std::exchange(Used[Key], true))
           continue;
         int64_t Current = Model.count(Key) ? Model[Key].ModRevision : 0;
@@ -132,7 +129,7 @@
                                  A.second.ModRevision == B.second.ModRevision;
                         });
     };
-    auto Listed = this->list("/t/");
+    auto Listed = this->list(Prefix);
     RC_ASSERT(Listed.ok());
     std::map<std::string, StoredValue> Seen;
     for (const StoredValue &Value : Listed->Values)
