--- a/testing/src/LoadBalancer.cpp
+++ b/testing/src/LoadBalancer.cpp
@@ -22,11 +22,16 @@
 static bool shouldRepeat(const absl::StatusOr<HttpResponse> &Response) {
   if (!Response.ok())
     return true;
-  if (Response->Status != 503)
+  if (Response->Status != 503 && Response->Status != 409)
     return false;
   nlohmann::json Problem =
       nlohmann::json::parse(Response->Body, nullptr, false);
-  return Problem.is_object() && Problem["execution"] == "not_run";
+  if (!Problem.is_object())
+    return false;
+  // In progress: the first attempt is still running, and its answer will be
+  // found under the idempotency key.
+  return Response->Status == 503 ? Problem["execution"] == "not_run"
+                                 : Problem["kind"] == "in_progress";
 }
 
 void LoadBalancer::begin(HttpRequest Request, absl::Duration Timeout,
