--- a/testing/src/Cluster.cpp
+++ b/testing/src/Cluster.cpp
@@ -122,11 +122,11 @@
   if (!Addresses.ok())
     return Addresses.status();
   for (const ListeningAddress &Line : *Addresses) {
-    if (Line.Name == "caller")
+    if (Line.Name.empty())
       Host.Caller = Line.Address;
     else if (Line.Name == "admin")
       Host.Admin = Line.Address;
-    else if (Line.Name == "peer")
+    else if (Line.Name == "peers")
       Host.Peer = Line.Address;
   }
   return this->publishHosts();
--- a/tools/demo/src/Demo.cpp
+++ b/tools/demo/src/Demo.cpp
@@ -245,12 +245,12 @@
 
 std::string Demo::presetOf(size_t Host) {
   HttpRequest Request;
-  Request.Path = "/v1/config";
+  Request.Path = "/v1/admin/status";
   auto Response =
       this->Hosts.http().call(this->Hosts.host(Host).Admin, Request);
   json Answer =
       Response.ok() ? json::parse(Response->Body, nullptr, false) : json();
-  return Answer.is_object() ? Answer.value("preset_in_force", "") : "";
+  return Answer.is_object() ? Answer.value("preset", "") : "";
 }
 
 void Demo::presetChange() {
