Keep results of ended runs apart from active leases

Cause: free slots and waiting calls were counted over all leases, and ended runs stay for 60 s, so under load each call took time linear in the requests of the last minute.

Change: ended leases of run() move to a map of their own.

Check: the model and contract tests pass, also under the address sanitizer.

--- a/standins/worker/include/standin_worker/WorkerModel.h
+++ b/standins/worker/include/standin_worker/WorkerModel.h
@@ -120,6 +120,7 @@
 
 private:
   struct Lease;
+  using LeaseMap = std::map<LeaseId, std::unique_ptr<Lease>>;
   struct Tombstone {
     LeaseState State = LeaseState::Unknown;
     RevokeResult RevokeAnswer = RevokeResult::Unknown;
@@ -145,6 +146,7 @@
   void accountProgress(Lease &Held);
   void finish(const LeaseId &Id);
   void end(Lease &Held, LeaseState State);
+  void keepRunResult(Lease &Held);
   void wait(Lease &Held, Waiter Done);
   void answerWaiters(Lease &Held);
   absl::StatusOr<TaskResult> waitedResult(const Lease &Held) const;
@@ -156,7 +158,11 @@
 
   const Builder Options;
   Executor &Exec;
-  std::map<LeaseId, std::unique_ptr<Lease>> Leases;
+  /// Active leases, and ended ones whose owner has not released them.
+  LeaseMap Leases;
+  /// Ended leases of run(). They are kept apart because there are many and
+  /// they take no capacity and belong to nobody who could recover them.
+  LeaseMap RunResults;
   std::map<LeaseId, Tombstone> Tombstones;
   std::deque<std::pair<absl::Time, LeaseId>> TombstoneOrder;
   std::vector<ExecutionRecord> Log;
--- a/standins/worker/src/WorkerModel.cpp
+++ b/standins/worker/src/WorkerModel.cpp
@@ -75,8 +75,12 @@
 }
 
 WorkerModel::Lease *WorkerModel::find(const LeaseId &Id) const {
-  auto Found = this->Leases.find(Id);
-  return Found == this->Leases.end() ? nullptr : Found->second.get();
+  for (const LeaseMap *Map : {&this->Leases, &this->RunResults}) {
+    auto Found = Map->find(Id);
+    if (Found != Map->end())
+      return Found->second.get();
+  }
+  return nullptr;
 }
 
 int WorkerModel::freeSlots() const {
@@ -123,10 +127,8 @@
   Status.Connections = this->Options.Connections;
   Status.FreeConnections = this->Options.Connections - this->waitingCalls();
   Status.Accelerators = this->Options.Accelerators;
-  // Ended leases of run() belong to nobody who could recover their result.
   for (const auto &[Id, Held] : this->Leases)
-    if (Held->isActive() || !Held->FromRun)
-      Status.Leases.push_back(this->report(*Held));
+    Status.Leases.push_back(this->report(*Held));
   Status.Usage = this->laggedUsage();
   Status.UsageLag = this->Options.UsageLag;
   return Status;
@@ -175,7 +177,10 @@
     this->Log[Held->LogIndex].Ended = this->Exec.now();
     this->Log[Held->LogIndex].State = LeaseState::Unknown;
   }
+  for (auto &[Id, Ended] : this->RunResults)
+    this->Exec.cancel(Ended->EndTimer);
   this->Leases.clear();
+  this->RunResults.clear();
   this->Tombstones.clear();
   this->TombstoneOrder.clear();
   std::string First = this->Options.Incarnation.empty()
@@ -194,6 +199,7 @@
     this->Exec.cancel(Held->EndTimer);
     this->Exec.cancel(Held->CheckpointTimer);
     this->Leases.erase(Id);
+    this->RunResults.erase(Id);
   }
   this->Tombstones[Id] = Tombstone{State, RevokeAnswer};
   this->TombstoneOrder.emplace_back(this->Exec.now(), Id);
--- a/standins/worker/src/WorkerModelTasks.cpp
+++ b/standins/worker/src/WorkerModelTasks.cpp
@@ -95,14 +95,20 @@
   this->Log[Held.LogIndex].Ended = Held.EndedAt;
   this->Log[Held.LogIndex].State = State;
   if (Held.FromRun)
-    Held.EndTimer =
-        this->Exec.runAfter(RunResultRetention, [this, Id = Held.Report.Lease] {
-          this->Leases.erase(Id);
-        });
+    this->keepRunResult(Held);
   this->changed();
   this->answerWaiters(Held);
 }
 
+void WorkerModel::keepRunResult(Lease &Held) {
+  auto Node = this->Leases.extract(Held.Report.Lease);
+  Held.EndTimer =
+      this->Exec.runAfter(RunResultRetention, [this, Id = Held.Report.Lease] {
+        this->RunResults.erase(Id);
+      });
+  this->RunResults.insert(std::move(Node));
+}
+
 absl::StatusOr<TaskResult> WorkerModel::waitedResult(const Lease &Held) const {
   switch (Held.Report.State) {
   case LeaseState::Finished: {
