--- a/testing/include/testing/ListeningAddress.h
+++ b/testing/include/testing/ListeningAddress.h
@@ -7,7 +7,7 @@
 
 namespace vanillayard {
 
-/// One line "listening ADDRESS [NAME]" of a program's output.
+/// An address that a program says it listens on.
 struct ListeningAddress {
   Endpoint Address;
   /// What listens there, or empty.
