--- a/libs/jobs/src/PlannerOutcome.cpp
+++ b/libs/jobs/src/PlannerOutcome.cpp
@@ -12,9 +12,9 @@
   Job.StopSince = this->now();
   auto Check = [this](PlannedJob &Found, int) { this->checkStop(Found); };
   // Posted, because the check may destroy the stopper that calls.
-  auto Changed = [this, Checked = this->onJob(Job, Check)] {
+  auto Changed = this->whileActive([this, Checked = this->onJob(Job, Check)] {
     this->Options.Exec->post([Checked] { Checked(0); });
-  };
+  });
   Job.Stopper =
       std::make_unique<GangStopper>(*this->Options.Exec, this->workers(),
                                     this->Current, Job.placement(), Changed);
--- a/libs/jobs/tests/JobsWorld.cpp
+++ b/libs/jobs/tests/JobsWorld.cpp
@@ -104,6 +104,54 @@
   this->makeHost(Index);
 }
 
+void JobsWorld::failOver(size_t From, size_t To, bool Kill) {
+  static constexpr absl::Duration SilenceToDeath = absl::Seconds(6);
+  if (Kill)
+    this->killHost(From);
+  else
+    this->Hosts[From].Exec->setPaused(true);
+  this->Exec.runAfter(SilenceToDeath, [this, To] {
+    if (this->Hosts[To].Planner)
+      this->Hosts[To].Planner->setPlanner(true);
+  });
+}
+
+void JobsWorld::heal(size_t Planner) {
+  for (const Endpoint &Address : this->Addresses) {
+    if (!this->Fleet.isAlive(Address))
+      this->Fleet.restart(Address);
+    this->Fleet.setFrozen(Address, false);
+    this->Fleet.faults(Address) = WorkerFaults();
+  }
+  for (size_t I = 0; I < this->List.size(); ++I) {
+    this->Fleet.model(this->Addresses[I]).setFailEverything(false);
+    this->setWorkerDraining(I, false);
+  }
+  this->LoseNotices = false;
+  for (size_t H = 0; H < this->Hosts.size(); ++H) {
+    JobsHost &Host = this->Hosts[H];
+    if (!Host.Planner)
+      this->restartHost(H);
+    Host.Exec->setPaused(false);
+    Host.Workers->setAllLinksCut(false);
+    for (const Endpoint &Address : this->Addresses)
+      Host.Workers->setLinkCut(Address, false);
+    Host.Service->setDown(false);
+    Host.Service->setPartitioned(false);
+    Host.Service->setLatency(absl::Milliseconds(1));
+    Host.Service->setStaleReads(0);
+    Host.Service->failCalls(0);
+    Host.Service->loseAnswers(0);
+  }
+  this->shareWorkers();
+  // The others see the winner a moment later.
+  this->Hosts[Planner].Planner->setPlanner(true);
+  this->Exec.runAfter(absl::Seconds(2), [this, Planner] {
+    for (size_t H = 0; H < this->Hosts.size(); ++H)
+      this->Hosts[H].Planner->setPlanner(H == Planner);
+  });
+}
+
 void JobsWorld::shareWorkers() {
   for (JobsHost &Host : this->Hosts)
     if (Host.Planner)
@@ -175,8 +223,9 @@
 }
 
 void JobsWorld::run(absl::Duration Time) {
-  for (absl::Duration Done; Done < Time; Done += StepTime) {
-    this->Exec.advance(StepTime);
+  for (absl::Duration Left = Time; Left > absl::ZeroDuration();
+       Left -= StepTime) {
+    this->Exec.advance(std::min(StepTime, Left));
     this->observe();
   }
 }
@@ -217,6 +266,21 @@
   for (const auto &[Gang, Members] : Runs)
     this->checkGang(Gang, Members);
   this->checkAtMostOnce();
+  this->checkOutcomes();
+}
+
+// A job that has ended keeps its one outcome.
+void JobsWorld::checkOutcomes() {
+  for (const JobId &Id : this->Accepted) {
+    auto Value = this->Data->read(JobRecord::keyOf(Id));
+    auto Known = this->Outcomes.find(Id);
+    if (!Value)
+      this->fail(Id.str() + " was accepted and has no record");
+    else if (Known != this->Outcomes.end() && Known->second != Value->Value)
+      this->fail(Id.str() + " changed after its outcome was recorded");
+    else if (Known == this->Outcomes.end() && isTerminal(this->stateOf(Id)))
+      this->Outcomes.emplace(Id, Value->Value);
+  }
 }
 
 // A gang never starts unless all leases are held; after a member is lost, no
--- a/libs/jobs/tests/JobsWorld.h
+++ b/libs/jobs/tests/JobsWorld.h
@@ -59,6 +59,11 @@
 
   void killHost(size_t Host);
   void restartHost(size_t Host);
+  /// Pauses or kills \p From; \p To becomes planner once the silence is
+  /// noticed.
+  void failOver(size_t From, size_t To, bool Kill);
+  /// Makes \p Host the only planner and ends every fault.
+  void heal(size_t Host);
   void setWorkerDraining(size_t Worker, bool Value);
   void shareWorkers();
   Endpoint address(size_t Worker) const { return this->Addresses[Worker]; }
@@ -91,6 +96,7 @@
   void checkGang(const std::string &Gang,
                  const std::vector<const ExecutionRecord *> &Runs);
   void checkAtMostOnce();
+  void checkOutcomes();
   void fail(const std::string &Text);
 
   std::shared_ptr<FakeStoreData> Data;
@@ -101,6 +107,8 @@
   /// Leases that were seen held or started, with the worker's incarnation.
   std::map<LeaseId, std::string> SeenLeases;
   std::map<LeaseId, absl::Time> Checkpointed;
+  /// Each job's record when it ended.
+  std::map<JobId, std::string> Outcomes;
   std::string Violation;
 };
 
