--- a/libs/jobs/src/Fleet.cpp
+++ b/libs/jobs/src/Fleet.cpp
@@ -105,8 +105,6 @@
 }
 
 void Fleet::dropUnusedCells(const AdmissionDecision &Decision) {
-  if (Decision.Class != AdmissionClass::Guaranteed)
-    return;
   for (int Cell : Decision.Plan.Cells)
     if (this->Ledger->cells()[static_cast<size_t>(Cell)].Users == 0)
       this->Ledger->unbind(Cell);
@@ -117,9 +115,8 @@
   Job.HeldReclaimable = Decision.Class == AdmissionClass::BorrowedReclaimable;
   Job.Holder = this->Held->addHolder(
       this->accountIndex(Job.Record.Spec.Account), Job.HeldReclaimable, Now);
-  if (Decision.Class == AdmissionClass::Guaranteed)
-    for (int Cell : Decision.Plan.Cells)
-      this->Ledger->use(Job.Holder, Cell);
+  for (int Cell : Decision.Plan.Cells)
+    this->Ledger->use(Job.Holder, Cell);
 }
 
 bool Fleet::place(PlannedJob &Job) {
--- a/libs/jobs/src/Fleet.h
+++ b/libs/jobs/src/Fleet.h
@@ -29,6 +29,9 @@
   void setConfiguration(std::shared_ptr<const Configuration> Config,
                         const DataCentreId &Dc);
 
+  /// Frees everything that is held.
+  void reset() { this->rebuild(); }
+
   const Topology &topology() const { return *this->Topo; }
   Occupancy &occupancy() { return *this->Held; }
   const Configuration *configuration() const { return this->Config.get(); }
--- a/libs/jobs/src/PlannerTask.cpp
+++ b/libs/jobs/src/PlannerTask.cpp
@@ -34,6 +34,7 @@
   this->Alive.reset();
   this->Queue.clear();
   this->Jobs.clear();
+  this->Workers.reset();
   this->Orphans.clear();
   this->Notices.clear();
   this->NoticesPosted = false;
@@ -51,7 +52,6 @@
   this->FoundAtStart.clear();
   this->EndedJobs.clear();
   this->ListIsFresh = false;
-  this->holdAllAgain();
   std::vector<const PlannerWorker *> List = this->Workers.listed();
   this->StatusesOpen = List.size();
   this->ListOpen = true;
--- a/libs/placement/include/placement/AdmissionPlanner.h
+++ b/libs/placement/include/placement/AdmissionPlanner.h
@@ -16,7 +16,8 @@
   Guaranteed,
   /// Above the guarantee on any free accelerators; may be reclaimed.
   BorrowedReclaimable,
-  /// Above the guarantee, where all guarantees can still be met.
+  /// Above the guarantee, where all guarantees can still be met. Some members
+  /// may use the account's own cells.
   BorrowedProtected,
   /// No place now.
   Wait,
@@ -43,7 +44,7 @@
 struct AdmissionDecision {
   AdmissionClass Class = AdmissionClass::Wait;
   /// Places, cells in use and holders to stop first. Only a guaranteed gang
-  /// has cells and victims.
+  /// has victims.
   GuaranteedPlan Plan;
 };
 
@@ -61,6 +62,8 @@
 private:
   bool placeProtected(const Occupancy &Held, const AdmissionRequest &Request,
                       GangPlacement &Out);
+  bool placeMixed(const Occupancy &Held, const AdmissionRequest &Request,
+                  absl::Time Now, GuaranteedPlan &Out);
   void denyAlso(const AdmissionRequest &Request);
 
   GuaranteeLedger *Ledger;
@@ -68,6 +71,7 @@
   GuaranteedGangPlanner Guaranteed;
   std::vector<uint8_t> Denied;
   std::vector<AssignedCell> Assignment;
+  GangPlacement Rest;
 };
 
 } // namespace vanillayard
--- a/libs/placement/include/placement/GuaranteedGangPlanner.h
+++ b/libs/placement/include/placement/GuaranteedGangPlanner.h
@@ -37,6 +37,11 @@
                             const GangShape &Shape, absl::Time Now,
                             GuaranteedPlan &Out);
 
+  /// Places as many members as the guarantee has room for, without reclaim.
+  /// \returns false, and nothing changes, if there is no room for any.
+  bool planPart(const Occupancy &Held, int Account, const GangShape &Shape,
+                absl::Time Now, GuaranteedPlan &Out);
+
 private:
   struct Search {
     const Occupancy *Held = nullptr;
@@ -47,10 +52,14 @@
     int Rack = -1;
     /// All members in one cell, or on one worker of it.
     bool OneCell = false;
+    /// A part of the gang is enough, but nothing may be reclaimed.
+    bool Partial = false;
     /// Take the accelerators that assign() found.
     bool Assigned = false;
   };
 
+  Search begin(const Occupancy &Held, int Account, const GangShape &Shape,
+               absl::Time Now, GuaranteedPlan &Out);
   bool holdsUnused(const Search &S) const;
   bool attempt(Search &S, GuaranteedPlan &Out);
   bool attemptAll(Search S, GuaranteedPlan &Out);
--- a/libs/placement/src/AdmissionPlanner.cpp
+++ b/libs/placement/src/AdmissionPlanner.cpp
@@ -29,6 +29,28 @@
          this->Ledger->deficit(Held, Out) == 0;
 }
 
+// A gang that is larger than what is left of its account's guarantee uses the
+// account's own cells first; otherwise they would keep the gang out for ever.
+bool AdmissionPlanner::placeMixed(const Occupancy &Held,
+                                  const AdmissionRequest &Request,
+                                  absl::Time Now, GuaranteedPlan &Out) {
+  if (Request.Shape.Spread != Adjacency::DataCentre ||
+      !this->Guaranteed.planPart(Held, Request.Account, Request.Shape, Now,
+                                 Out))
+    return false;
+  AdmissionRequest Others = Request;
+  Others.Shape.Members -= static_cast<int>(Out.Members.size());
+  if (this->placeProtected(Held, Others, this->Rest)) {
+    Out.Members.insert(Out.Members.end(), this->Rest.begin(), this->Rest.end());
+    return true;
+  }
+  for (int Cell : Out.Cells)
+    if (this->Ledger->cells()[static_cast<size_t>(Cell)].Users == 0)
+      this->Ledger->unbind(Cell);
+  Out.Cells.clear();
+  return false;
+}
+
 void AdmissionPlanner::decide(const Occupancy &Held,
                               const AdmissionRequest &Request, absl::Time Now,
                               AdmissionDecision &Out) {
@@ -42,7 +64,8 @@
   if (!Request.Borrowing)
     return;
   if (!Request.Reclaimable) {
-    if (this->placeProtected(Held, Request, Out.Plan.Members))
+    if (this->placeProtected(Held, Request, Out.Plan.Members) ||
+        this->placeMixed(Held, Request, Now, Out.Plan))
       Out.Class = AdmissionClass::BorrowedProtected;
   } else if (this->Policy->choose(Held, Request.Shape, Request.Denied,
                                   Out.Plan.Members)) {
--- a/libs/placement/src/GuaranteedGangPlanner.cpp
+++ b/libs/placement/src/GuaranteedGangPlanner.cpp
@@ -221,7 +221,10 @@
     this->Ledger->assign(*S.Held, this->Assignment);
   this->useBoundCells(S, Out);
   this->useUnusedCells(S, Out);
-  bool Fits = S.Left == 0 && this->Ledger->deficit(*S.Held) <= Before;
+  bool Enough = S.Partial
+                    ? !Out.Members.empty() && this->Reclaim.victims().empty()
+                    : S.Left == 0;
+  bool Fits = Enough && this->Ledger->deficit(*S.Held) <= Before;
   if (!Fits) {
     this->undo(Out);
     return false;
@@ -267,11 +270,10 @@
   return (S.OneCell ? Largest : Sum) >= S.Shape.Members;
 }
 
-GuaranteedPlanResult GuaranteedGangPlanner::plan(const Occupancy &Held,
-                                                 int Account,
-                                                 const GangShape &Shape,
-                                                 absl::Time Now,
-                                                 GuaranteedPlan &Out) {
+GuaranteedGangPlanner::Search
+GuaranteedGangPlanner::begin(const Occupancy &Held, int Account,
+                             const GangShape &Shape, absl::Time Now,
+                             GuaranteedPlan &Out) {
   Out.Members.clear();
   Out.Cells.clear();
   Out.Victims.clear();
@@ -281,6 +283,23 @@
   S.Held = &Held;
   S.Account = Account;
   S.Shape = Shape;
+  return S;
+}
+
+bool GuaranteedGangPlanner::planPart(const Occupancy &Held, int Account,
+                                     const GangShape &Shape, absl::Time Now,
+                                     GuaranteedPlan &Out) {
+  Search S = this->begin(Held, Account, Shape, Now, Out);
+  S.Partial = true;
+  return this->attemptAll(S, Out);
+}
+
+GuaranteedPlanResult GuaranteedGangPlanner::plan(const Occupancy &Held,
+                                                 int Account,
+                                                 const GangShape &Shape,
+                                                 absl::Time Now,
+                                                 GuaranteedPlan &Out) {
+  Search S = this->begin(Held, Account, Shape, Now, Out);
   S.OneCell = Shape.Spread != Adjacency::DataCentre;
   if (this->holdsUnused(S))
     return this->attemptAll(S, Out) ? GuaranteedPlanResult::Planned
