--- a/libs/peer/include/peer/PeerHost.h
+++ b/libs/peer/include/peer/PeerHost.h
@@ -37,6 +37,8 @@
   absl::Time LastDirect = absl::InfinitePast();
   /// Generation of the configuration in its last heartbeat.
   int64_t Generation = 0;
+  /// Whether it sends heartbeats only within its data centre.
+  bool IsRelaying = false;
   /// Load in its last heartbeat.
   LoadSummary Load;
 
--- a/libs/peer/src/HostTable.cpp
+++ b/libs/peer/src/HostTable.cpp
@@ -5,7 +5,7 @@
 namespace vanillayard {
 
 HostTable::Verdict HostTable::observe(const DataCentreId &DataCentre,
-                                      const HostDigest &Seen) {
+                                      const HostDigest &Seen, absl::Time When) {
   if (Seen.Host == this->Self || Seen.Host.empty())
     return Verdict::Stale;
   auto Found = this->Entries.find(Seen.Host);
@@ -20,6 +20,7 @@
     E.Host.Host = Seen.Host;
     E.Host.Incarnation = Seen.Incarnation;
   }
+  E.LastEvidence = std::max(E.LastEvidence, When);
   E.Host.DataCentre = DataCentre;
   if (!Seen.Address.empty())
     E.Host.Address = Seen.Address;
@@ -32,7 +33,7 @@
 HostTable::Verdict HostTable::observeDirect(const DataCentreId &DataCentre,
                                             const HostDigest &Seen,
                                             absl::Time Now) {
-  Verdict Result = this->observe(DataCentre, Seen);
+  Verdict Result = this->observe(DataCentre, Seen, Now);
   if (Result != Verdict::Stale)
     this->Entries.at(Seen.Host).Host.LastDirect = Now;
   return Result;
@@ -44,7 +45,7 @@
                                absl::Time Heard) {
   std::set<HostId> Listed;
   for (const HostDigest &Seen : Hosts) {
-    if (this->observe(DataCentre, Seen) == Verdict::Stale)
+    if (this->observe(DataCentre, Seen, Heard) == Verdict::Stale)
       continue;
     this->Entries.at(Seen.Host).Relayed[Relay] = Heard;
     Listed.insert(Seen.Host);
@@ -54,13 +55,6 @@
       E.Relayed.erase(Relay);
 }
 
-absl::Time HostTable::lastEvidence(const Entry &E) const {
-  absl::Time Last = E.Host.LastDirect;
-  for (const auto &[Relay, Heard] : E.Relayed)
-    Last = std::max(Last, Heard);
-  return Last;
-}
-
 PeerState HostTable::stateOf(const Entry &E, absl::Time Now) const {
   absl::Duration Direct = Now - E.Host.LastDirect;
   absl::Duration Relayed = absl::InfiniteDuration();
@@ -82,7 +76,7 @@
     Entry &E = It->second;
     PeerState State = this->stateOf(E, Now);
     if (State == PeerState::Dead &&
-        Now - this->lastEvidence(E) >= this->Timeouts.Forget) {
+        Now - E.LastEvidence >= this->Timeouts.Forget) {
       It = this->Entries.erase(It);
       continue;
     }
--- a/libs/peer/src/HostTable.h
+++ b/libs/peer/src/HostTable.h
@@ -67,11 +67,13 @@
     bool IsChanged = true;
     /// By relay, when it last had this host in its list.
     std::map<HostId, absl::Time> Relayed;
+    /// Last sign of life of any kind, also one that a relay has taken back.
+    absl::Time LastEvidence;
   };
 
-  Verdict observe(const DataCentreId &DataCentre, const HostDigest &Seen);
+  Verdict observe(const DataCentreId &DataCentre, const HostDigest &Seen,
+                  absl::Time When);
   PeerState stateOf(const Entry &E, absl::Time Now) const;
-  absl::Time lastEvidence(const Entry &E) const;
 
   HostId Self;
   HostTimeouts Timeouts;
--- a/libs/peer/src/MembershipHeartbeat.cpp
+++ b/libs/peer/src/MembershipHeartbeat.cpp
@@ -103,6 +103,7 @@
   Beat.Generation = this->Generation;
   Beat.Phase = this->IsLeaving ? HostPhase::Leaving : HostPhase::Live;
   Beat.Load = this->Load;
+  Beat.Relaying = this->IsRelaying;
   if (Beats < IntroductionBeats || Beats % AddressEvery == 0)
     Beat.Address = this->Address;
   Beat.KnownPeers = this->peersFor(To, Beats);
@@ -165,8 +166,18 @@
   return Digest;
 }
 
+// Hosts near the number at which relaying begins and ends may differ on it. A
+// planner serves those that relay, also when it does not itself.
+bool Membership::Impl::hasToRelay() const {
+  auto All = this->Hosts.all();
+  return this->IsRelaying ||
+         std::any_of(All.begin(), All.end(), [](const PeerHost *Host) {
+           return Host->IsRelaying && Host->isUsable();
+         });
+}
+
 void Membership::Impl::addDigests(const PeerHost &To, Heartbeat &Beat) {
-  if (!this->IsRelaying || !this->isPlanner())
+  if (!this->isPlanner() || !this->hasToRelay())
     return;
   if (To.DataCentre != this->DataCentre) {
     Beat.Digests.push_back(
--- a/libs/peer/src/MembershipImpl.cpp
+++ b/libs/peer/src/MembershipImpl.cpp
@@ -218,6 +218,7 @@
   PeerHost *Host = this->Hosts.find(From);
   Host->Generation = Beat.Generation;
   Host->Load = Beat.Load;
+  Host->IsRelaying = Beat.Relaying;
   for (const Endpoint &Known : Beat.KnownPeers)
     this->Addresses.mention(Known, this->Exec.now());
   for (const DataCentreId &Wanted : Beat.WantedHostsOf)
--- a/libs/peer/src/MembershipImpl.h
+++ b/libs/peer/src/MembershipImpl.h
@@ -92,6 +92,7 @@
   void updateConnections(const std::map<Endpoint, const PeerHost *> &To);
   Heartbeat compose(const PeerHost *To, uint64_t Beats);
   std::vector<Endpoint> peersFor(const PeerHost *To, uint64_t Beats) const;
+  bool hasToRelay() const;
   void addDigests(const PeerHost &To, Heartbeat &Beat);
   DataCentreDigest digestOf(const DataCentreId &Of) const;
   absl::Status transmit(const Endpoint &To, PeerMessage Message,
--- a/libs/wire/include/wire/Heartbeat.h
+++ b/libs/wire/include/wire/Heartbeat.h
@@ -20,6 +20,9 @@
   int64_t Generation = 0;
   HostPhase Phase = HostPhase::Live;
   LoadSummary Load;
+  /// True if the sender, unless it is a planner, sends no heartbeats to other
+  /// data centres.
+  bool Relaying = false;
   /// Views that changed; only to hosts of the same data centre.
   std::vector<WorkerView> Workers;
   /// The views follow without a gap on those up to this version.
--- a/libs/wire/peer.thrift
+++ b/libs/wire/peer.thrift
@@ -56,6 +56,7 @@
   10: optional list<string> warnings
   11: optional i64 views_after
   12: optional i64 views_seen_of
+  13: optional bool relaying
 }
 
 struct ConfigRequest {
--- a/libs/wire/src/FromThrift.cpp
+++ b/libs/wire/src/FromThrift.cpp
@@ -88,6 +88,7 @@
   Out.Generation = In.generation;
   Out.Phase = In.leaving ? HostPhase::Leaving : HostPhase::Live;
   Out.Load = convert(In.load);
+  Out.Relaying = In.relaying;
   Out.Workers = toVector(std::move(In.workers));
   Out.Address = Endpoint(std::move(In.address));
   Out.KnownPeers = toIds<Endpoint>(std::move(In.known_peers));
--- a/libs/wire/src/ToThrift.cpp
+++ b/libs/wire/src/ToThrift.cpp
@@ -97,6 +97,7 @@
   if (In.Phase == HostPhase::Leaving)
     Out.__set_leaving(true);
   setUnlessDefault(In.Load, [&](auto &V) { Out.__set_load(convert(V)); });
+  setUnlessDefault(In.Relaying, [&](auto V) { Out.__set_relaying(V); });
   setUnlessDefault(In.Workers, [&](auto &V) { Out.__set_workers(toList(V)); });
   setUnlessDefault(In.Address, [&](auto &V) { Out.__set_address(V.str()); });
   setUnlessDefault(In.KnownPeers,
--- a/libs/wire/tests/WireCodecTest.cpp
+++ b/libs/wire/tests/WireCodecTest.cpp
@@ -65,6 +65,7 @@
   return {anyCount(),
           anyBool() ? HostPhase::Live : HostPhase::Leaving,
           anyLoad(),
+          anyBool(),
           anyList<WorkerView>(anyView),
           anyCount(),
           anyId<Endpoint>(),
