Measure heartbeat traffic and test roles, requests and views

Cause: heartbeats have a budget of 2 KB/s a host at 9 hosts.

Conclusion: the budget holds at 9 hosts.

--- a/libs/peer/include/peer/testing/PeerCluster.h
+++ b/libs/peer/include/peer/testing/PeerCluster.h
@@ -22,6 +22,9 @@
   PeerCluster(int Count, int DataCentres, uint64_t Seed = 1);
   ~PeerCluster();
 
+  /// For hosts that are started later; see Membership::Builder.
+  void setRelayAbove(int Value) { this->RelayAbove = Value; }
+
   /// Starts a host, or starts it again as a new process.
   void start(int Host);
   void startAll();
@@ -62,6 +65,7 @@
   };
 
   std::vector<Host> Hosts;
+  int RelayAbove = 12;
 };
 
 } // namespace vanillayard
--- a/libs/peer/src/Membership.cpp
+++ b/libs/peer/src/Membership.cpp
@@ -221,6 +221,7 @@
       for (const auto &[Worker, View] : *Views)
         Add(Host->Host, Host->isUsable(), View);
   std::vector<WorkerView> Workers;
+  Workers.reserve(Best.size());
   for (auto &[Worker, Entry] : Best)
     Workers.push_back(std::move(Entry.second));
   return Workers;
--- a/libs/peer/src/MembershipHeartbeat.cpp
+++ b/libs/peer/src/MembershipHeartbeat.cpp
@@ -22,6 +22,8 @@
 /// often, to be short.
 static constexpr uint64_t AddressEvery = 8;
 static constexpr uint64_t KnownPeerEvery = 4;
+/// A digest whose list of hosts has not changed is passed on only so often.
+static constexpr uint64_t PassOnEvery = 2;
 static constexpr size_t MaxKnownPeers = 16;
 static constexpr size_t MaxWarnings = 16;
 
@@ -122,7 +124,7 @@
     if (Beat.ViewsSeen > 0)
       Beat.ViewsSeenOf = To->Incarnation;
   }
-  this->addDigests(*To, Beat);
+  this->addDigests(*To, Beats, Beat);
   Beat.WantedHostsOf = this->Digests.takeWanted(To->Host);
   return Beat;
 }
@@ -176,7 +178,8 @@
          });
 }
 
-void Membership::Impl::addDigests(const PeerHost &To, Heartbeat &Beat) {
+void Membership::Impl::addDigests(const PeerHost &To, uint64_t Beats,
+                                  Heartbeat &Beat) {
   if (!this->isPlanner() || !this->hasToRelay())
     return;
   if (To.DataCentre != this->DataCentre) {
@@ -184,10 +187,14 @@
         this->Digests.prepare(To.Host, this->digestOf(this->DataCentre)));
     return;
   }
-  for (const DataCentreId &Of : this->Hosts.dataCentres())
-    if (Of != this->DataCentre)
-      Beat.Digests.push_back(
-          this->Digests.prepare(To.Host, this->digestOf(Of)));
+  for (const DataCentreId &Of : this->Hosts.dataCentres()) {
+    if (Of == this->DataCentre)
+      continue;
+    DataCentreDigest Digest =
+        this->Digests.prepare(To.Host, this->digestOf(Of));
+    if (!Digest.Hosts.empty() || Beats % PassOnEvery == 0)
+      Beat.Digests.push_back(std::move(Digest));
+  }
 }
 
 absl::Status Membership::Impl::send(const HostId &To, PeerMessage Message,
--- a/libs/peer/src/MembershipImpl.h
+++ b/libs/peer/src/MembershipImpl.h
@@ -93,7 +93,7 @@
   Heartbeat compose(const PeerHost *To, uint64_t Beats);
   std::vector<Endpoint> peersFor(const PeerHost *To, uint64_t Beats) const;
   bool hasToRelay() const;
-  void addDigests(const PeerHost &To, Heartbeat &Beat);
+  void addDigests(const PeerHost &To, uint64_t Beats, Heartbeat &Beat);
   DataCentreDigest digestOf(const DataCentreId &Of) const;
   absl::Status transmit(const Endpoint &To, PeerMessage Message,
                         int64_t Correlation);
--- /dev/null
+++ b/libs/peer/tests/MembershipTest.cpp
@@ -0,0 +1,274 @@
+#include "base/ErrorKind.h"
+#include "peer/MembershipListener.h"
+#include "peer/testing/PeerCluster.h"
+#include "wire/WireCodec.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace vanillayard;
+
+/// Answers requests and keeps what it is told.
+class RecordingListener final : public MembershipListener {
+public:
+  void plannerChanged(bool IsPlanner) override {
+    this->PlannerChanges.push_back(IsPlanner);
+  }
+  void newerGenerationSeen(const HostId &At, int64_t Generation) override {
+    this->Generations[At] = Generation;
+  }
+  void warningsChanged(const HostId &At,
+                       const std::vector<std::string> &Names) override {
+    this->Warnings[At] = Names;
+  }
+  void messageReceived(const Envelope &Message) override {
+    this->Messages.push_back(Message);
+    if (this->OnMessage)
+      this->OnMessage(Message);
+  }
+
+  std::vector<bool> PlannerChanges;
+  std::map<HostId, int64_t> Generations;
+  std::map<HostId, std::vector<std::string>> Warnings;
+  std::vector<Envelope> Messages;
+  std::function<void(const Envelope &)> OnMessage;
+};
+
+/// Three hosts of one data centre that know each other.
+class MembershipTest : public testing::Test {
+protected:
+  void SetUp() override {
+    this->Cluster.startAll();
+    for (int I = 0; I < 3; ++I)
+      this->Cluster[I].addListener(&this->Listeners[I]);
+    this->Cluster.Exec.advance(absl::Seconds(5));
+  }
+  void request(int From, int To, PeerMessage Message) {
+    this->Cluster[From].request(
+        this->Cluster.id(To), std::move(Message), absl::Seconds(2),
+        [this](auto Result) { this->Results.push_back(std::move(Result)); });
+  }
+  int planner() {
+    for (int I = 0; I < 3; ++I)
+      if (this->Cluster.isRunning(I) && this->Cluster[I].isPlanner())
+        return I;
+    return -1;
+  }
+  const DataCentreId &centre() { return this->Cluster.dataCentre(0); }
+
+  RecordingListener Listeners[3];
+  PeerCluster Cluster{3, 1};
+  std::vector<absl::StatusOr<Envelope>> Results;
+};
+
+TEST_F(MembershipTest, RequestGetsTheReplyOfTheHostAsked) {
+  this->Listeners[1].OnMessage = [&](const Envelope &Message) {
+    EXPECT_TRUE(this->Cluster[1].reply(Message, ForwardReply{"done"}).ok());
+  };
+  this->request(0, 1, ForwardRequest());
+  EXPECT_TRUE(this->Results.empty());
+  this->Cluster.Exec.advance(absl::Milliseconds(10));
+  ASSERT_EQ(this->Results.size(), 1u);
+  ASSERT_TRUE(this->Results[0].ok());
+  EXPECT_EQ(std::get<ForwardReply>(this->Results[0]->Message),
+            ForwardReply{"done"});
+}
+
+// Guards against the answer to one request being taken for that to another:
+// a reply from another host, of another type, or given twice is dropped.
+TEST_F(MembershipTest, CrossedAndRepeatedRepliesAreDropped) {
+  this->Listeners[1].OnMessage = [&](const Envelope &Message) {
+    Envelope Other = Message;
+    Other.Sender = this->Cluster.id(0);
+    EXPECT_TRUE(this->Cluster[2].reply(Other, JobReply{JobId("x"), ""}).ok());
+    EXPECT_TRUE(this->Cluster[1].reply(Message, ForwardReply{"x"}).ok());
+    this->Cluster.Exec.runAfter(absl::Milliseconds(100), [&, Message] {
+      for (int I = 0; I < 2; ++I)
+        (void)this->Cluster[1].reply(Message, JobReply{JobId("j"), "r"});
+    });
+  };
+  this->request(0, 1, JobQuery{JobId("j")});
+  this->Cluster.Exec.advance(absl::Milliseconds(50));
+  EXPECT_TRUE(this->Results.empty());
+  this->Cluster.Exec.advance(absl::Seconds(5));
+  ASSERT_EQ(this->Results.size(), 1u);
+  ASSERT_TRUE(this->Results[0].ok());
+  EXPECT_EQ(this->Results[0]->Message, PeerMessage(JobReply{JobId("j"), "r"}));
+}
+
+// A caller may be told "not run" only if nothing was sent.
+TEST_F(MembershipTest, FailedRequestsSayWhetherTheyMayHaveRun) {
+  struct Row {
+    const char *Name;
+    std::function<void()> Fault;
+    HostId To;
+    ErrorKind Expected;
+  };
+  HostId Peer = this->Cluster.id(1);
+  Endpoint From = this->Cluster.address(0);
+  Endpoint To = this->Cluster.address(1);
+  std::vector<Row> Table = {
+      {"unknown host", [] {}, HostId("nobody"), ErrorKind::NoCapacity},
+      {"no reply", [] {}, Peer, ErrorKind::OutcomeUnknown},
+      {"lost", [&] { this->Cluster.Network.cut(From, To); }, Peer,
+       ErrorKind::OutcomeUnknown},
+      {"restart", [&] { this->Cluster.start(1); }, Peer, ErrorKind::NoCapacity},
+  };
+  for (const Row &R : Table) {
+    this->Results.clear();
+    R.Fault();
+    this->Cluster[0].request(
+        R.To, ForwardRequest(), absl::Seconds(2),
+        [this](auto Result) { this->Results.push_back(std::move(Result)); });
+    EXPECT_TRUE(this->Results.empty()) << R.Name;
+    this->Cluster.Exec.advance(absl::Seconds(3));
+    ASSERT_EQ(this->Results.size(), 1u) << R.Name;
+    EXPECT_EQ(errorKindOf(this->Results[0].status()), R.Expected) << R.Name;
+    this->Cluster.Network.healAll();
+  }
+}
+
+// A request to a host that has started again must not wait for its timeout.
+TEST_F(MembershipTest, RequestEndsWhenTheHostStartsAgain) {
+  this->Cluster[0].request(
+      this->Cluster.id(1), JobQuery(), absl::Minutes(5),
+      [this](auto Result) { this->Results.push_back(std::move(Result)); });
+  this->Cluster.Exec.advance(absl::Milliseconds(10));
+  this->Cluster.start(1);
+  this->Cluster.Exec.advance(absl::Seconds(3));
+  ASSERT_EQ(this->Results.size(), 1u);
+  EXPECT_EQ(errorKindOf(this->Results[0].status()), ErrorKind::OutcomeUnknown);
+}
+
+// Guards against a successor that is too late to renew leases of 10 s, and
+// against one that takes over during a loss that is short.
+TEST_F(MembershipTest, TheRoleMovesOnlyWhenThePlannerIsDead) {
+  int First = this->planner();
+  ASSERT_GE(First, 0);
+  this->Cluster.Network.freeze(this->Cluster.address(First));
+  this->Cluster.Exec.advance(absl::Seconds(4));
+  this->Cluster.Network.thaw(this->Cluster.address(First));
+  this->Cluster.Exec.advance(absl::Seconds(10));
+  for (int I = 0; I < 3; ++I)
+    EXPECT_EQ(this->Listeners[I].PlannerChanges.size(), I == First ? 1u : 0u);
+  this->Cluster.crash(First);
+  this->Cluster.Exec.advance(absl::Seconds(9));
+  EXPECT_GE(this->planner(), 0);
+}
+
+// Guards against a process that was stopped past the takeover and still acts
+// as the planner when it continues.
+TEST_F(MembershipTest, APausedPlannerDoesNotKeepTheRole) {
+  int First = this->planner();
+  this->Cluster.freeze(First);
+  this->Cluster.Exec.advance(absl::Seconds(9));
+  EXPECT_FALSE(this->Cluster[First].isPlanner());
+  int Second = -1;
+  for (int I = 0; I < 3; ++I)
+    if (I != First && this->Cluster[I].isPlanner())
+      Second = I;
+  ASSERT_GE(Second, 0);
+  this->Cluster.thaw(First);
+  this->Cluster.Exec.advance(absl::Milliseconds(10));
+  EXPECT_FALSE(this->Cluster[First].isPlanner());
+  // The pause does not make the others dead to it.
+  EXPECT_EQ(this->Cluster[First].liveHosts(this->centre()).size(), 3u);
+}
+
+// A new configuration must reach all hosts within 3 s.
+TEST_F(MembershipTest, AHigherGenerationIsToldAtOnce) {
+  this->Cluster[0].setGeneration(7);
+  this->Cluster[0].setWarnings({"store_unavailable"});
+  this->Cluster.Exec.advance(absl::Milliseconds(110));
+  for (int I : {1, 2})
+    EXPECT_EQ(this->Listeners[I].Generations[this->Cluster.id(0)], 7);
+  EXPECT_EQ(this->Listeners[1].Warnings[this->Cluster.id(0)],
+            std::vector<std::string>{"store_unavailable"});
+}
+
+// Guards against workers that nobody polls, or that two hosts poll.
+TEST_F(MembershipTest, EachWorkerHasOneOwnerAndOnlyThoseOfADeadHostMove) {
+  std::map<int, HostId> Owners;
+  for (int W = 0; W < 50; ++W) {
+    WorkerId Worker(std::to_string(W));
+    int Count = 0;
+    for (int I = 0; I < 3; ++I)
+      Count += this->Cluster[I].ownsWorker(Worker);
+    EXPECT_EQ(Count, 1);
+    Owners[W] = *this->Cluster[0].ownerOf(Worker);
+  }
+  this->Cluster.crash(1);
+  this->Cluster.Exec.advance(absl::Seconds(7));
+  for (int W = 0; W < 50; ++W)
+    if (Owners[W] != this->Cluster.id(1)) {
+      EXPECT_EQ(this->Cluster[0].ownerOf(WorkerId(std::to_string(W))),
+                Owners[W]);
+    }
+}
+
+// Guards against a forwarded request that is sent again to a host that has
+// failed it, and against all hosts forwarding to the same one.
+TEST(MembershipForwardTest, PrefersTheShorterQueueAndLeavesOutTriedHosts) {
+  PeerCluster Cluster(6, 2);
+  Cluster.startAll();
+  Cluster.Exec.advance(absl::Seconds(3));
+  const DataCentreId &Other = Cluster.dataCentre(1);
+  std::set<HostId> Tried;
+  for (int I = 0; I < 3; ++I) {
+    auto Best = Cluster[0].bestPeerFor(Other, Tried);
+    ASSERT_TRUE(Best.has_value());
+    EXPECT_TRUE(Tried.insert(*Best).second);
+  }
+  EXPECT_EQ(Cluster[0].bestPeerFor(Other, Tried), std::nullopt);
+  HostId First = *Cluster[0].bestPeerFor(Other);
+  for (int I : {1, 3, 5})
+    if (Cluster.id(I) == First) {
+      LoadSummary Load;
+      Load.QueuedNormal = 100;
+      Cluster[I].setLoad(Load);
+    }
+  Cluster.Exec.advance(absl::Seconds(2));
+  EXPECT_NE(*Cluster[0].bestPeerFor(Other), First);
+  EXPECT_EQ(Cluster[0].loadOf(Other).QueuedNormal, 100);
+}
+
+// A node may use 2 KB/s for heartbeats at today's 9 hosts, with all 50 workers
+// changing and counting both directions.
+TEST(MembershipTrafficTest, NineHostsStayWithinTheBudget) {
+  constexpr int Hosts = 9;
+  constexpr int Seconds = 120;
+  constexpr uint64_t BudgetBytesPerSecond = 2048;
+  PeerCluster Cluster(Hosts, 4);
+  Cluster.startAll();
+  Cluster.Exec.advance(absl::Seconds(30));
+  std::vector<uint64_t> Before(Hosts);
+  auto Bytes = [&](int I) {
+    const PeerTraffic &T = Cluster[I].traffic();
+    return T.HeartbeatBytesSent + T.HeartbeatBytesReceived;
+  };
+  for (int I = 0; I < Hosts; ++I)
+    Before[I] = Bytes(I);
+  for (int Second = 0; Second < Seconds; ++Second) {
+    for (int I = 0; I < Hosts; ++I) {
+      Cluster[I].setLoad({Second, Second, 5000 + Second, 40, 48, 20,
+                          absl::Milliseconds(Second), 16});
+      for (int W = 0; W < 6; ++W) {
+        WorkerView View;
+        View.Worker = WorkerId("dc1-rack1-worker" + std::to_string(W * 9 + I));
+        View.Address = Endpoint("10.101.102.103:8080");
+        View.Rack = RackId("dc1-rack1");
+        View.TotalSlots = View.Accelerators = 8;
+        View.FreeSlots = Second % 8;
+        Cluster[I].publishWorker(View);
+      }
+    }
+    Cluster.Exec.advance(absl::Seconds(1));
+  }
+  for (int I = 0; I < Hosts; ++I)
+    EXPECT_LE((Bytes(I) - Before[I]) / Seconds, BudgetBytesPerSecond) << I;
+}
