--- /dev/null
+++ b/tools/load/include/load/LeastSquares.h
@@ -0,0 +1,28 @@
+#ifndef VANILLAYARD_LOAD_LEASTSQUARES_H
+#define VANILLAYARD_LOAD_LEASTSQUARES_H
+
+#include "absl/status/statusor.h"
+
+#include <vector>
+
+namespace vanillayard {
+
+/// A straight line through measured points.
+struct LeastSquares {
+  struct Point {
+    double X = 0;
+    double Y = 0;
+  };
+
+  double Slope = 0;
+  double Intercept = 0;
+  /// Root mean square of the distances in Y, in the unit of Y.
+  double Residual = 0;
+
+  /// Errors: InvalidArgument for fewer than three points or a single X.
+  static absl::StatusOr<LeastSquares> fit(const std::vector<Point> &Points);
+};
+
+} // namespace vanillayard
+
+#endif
--- /dev/null
+++ b/tools/load/include/load/LoadRun.h
@@ -0,0 +1,50 @@
+#ifndef VANILLAYARD_LOAD_LOADRUN_H
+#define VANILLAYARD_LOAD_LOADRUN_H
+
+#include "base/Ids.h"
+#include "load/Recorder.h"
+#include "load/Workload.h"
+
+#include "absl/status/status.h"
+
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace vanillayard {
+
+/// Sends a workload over HTTP from a thread with a loop of its own, so that
+/// the experiment's script may block meanwhile.
+class LoadRun {
+public:
+  /// \param Name unique for each run against the same hosts.
+  LoadRun(std::vector<Endpoint> Hosts, Workload Load, std::string Name,
+          absl::Duration DrainTime);
+  /// Waits for the end of the run, which the workload's duration and the
+  /// drain time bound.
+  ~LoadRun();
+
+  /// Waits for the end of the run. Errors: InvalidArgument for a workload
+  /// that the driver refuses.
+  absl::Status wait();
+
+  /// After wait().
+  const Recorder &records() const { return this->Records; }
+  absl::Duration worstSendDelay() const { return this->WorstSendDelay; }
+
+private:
+  void work();
+
+  std::vector<Endpoint> Hosts;
+  Workload Load;
+  std::string Name;
+  absl::Duration DrainTime;
+  Recorder Records;
+  absl::Status Result;
+  absl::Duration WorstSendDelay;
+  std::thread Thread;
+};
+
+} // namespace vanillayard
+
+#endif
--- /dev/null
+++ b/tools/load/include/load/ProcessUsage.h
@@ -0,0 +1,29 @@
+#ifndef VANILLAYARD_LOAD_PROCESSUSAGE_H
+#define VANILLAYARD_LOAD_PROCESSUSAGE_H
+
+#include "absl/status/statusor.h"
+#include "absl/time/time.h"
+
+#include <cstdint>
+#include <string_view>
+#include <sys/types.h>
+
+namespace vanillayard {
+
+/// What a process has used, by /proc/PID/stat.
+struct ProcessUsage {
+  /// User and system time since the process started, in steps of a clock tick
+  /// (10 ms).
+  absl::Duration ProcessorTime;
+  int64_t ResidentBytes = 0;
+
+  /// Errors: NotFound if there is no such process.
+  static absl::StatusOr<ProcessUsage> of(pid_t Pid);
+
+  /// Reads the content of /proc/PID/stat. Errors: InvalidArgument.
+  static absl::StatusOr<ProcessUsage> parse(std::string_view Stat);
+};
+
+} // namespace vanillayard
+
+#endif
--- a/tools/load/include/load/Recorder.h
+++ b/tools/load/include/load/Recorder.h
@@ -20,6 +20,9 @@
   size_t Sent = 0;
   /// Seconds from the scheduled time to the whole answer, of "ok" only.
   SampleSet Latency;
+  /// Seconds like Latency, of all requests: one without an answer counts with
+  /// its deadline, so that refusing requests cannot improve a quantile.
+  SampleSet Completion;
   /// Counted by outcome and execution.
   std::map<std::pair<std::string, std::string>, size_t> Outcomes;
 
--- /dev/null
+++ b/tools/load/src/Deployment.cpp
@@ -0,0 +1,77 @@
+#include "load/Deployment.h"
+
+#include <fmt/format.h>
+
+namespace vanillayard {
+
+int Deployment::hosts() const {
+  int Sum = 0;
+  for (const DataCentreSize &Size : this->DataCentres)
+    Sum += Size.Hosts;
+  return Sum;
+}
+
+int Deployment::workers() const {
+  int Sum = 0;
+  for (const DataCentreSize &Size : this->DataCentres)
+    Sum += Size.Workers;
+  return Sum;
+}
+
+double Deployment::shareOf(const DeploymentKind &Kind) const {
+  return Kind.Weight / (this->MostUrgent.Weight + this->Middle.Weight +
+                        this->LeastUrgent.Weight);
+}
+
+static std::vector<ClientAccountId> accounts() {
+  return {ClientAccountId("large-1"), ClientAccountId("large-2"),
+          ClientAccountId("small-1"), ClientAccountId("small-2")};
+}
+
+static Deployment kalahari() {
+  Deployment D;
+  D.Name = "kalahari";
+  D.DataCentres = {{DataCentreId("dc1"), 3, 13},
+                   {DataCentreId("dc2"), 2, 13},
+                   {DataCentreId("dc3"), 2, 12},
+                   {DataCentreId("dc4"), 2, 12}};
+  D.WorkersPerRack = 6;
+  D.Accounts = accounts();
+  D.MostUrgent = {KindId("price-check"), 4, true};
+  D.Middle = {KindId("cut-sheet"), 2, false};
+  D.LeastUrgent = {KindId("photo-match"), 1, true};
+  return D;
+}
+
+static Deployment swanbag() {
+  Deployment D;
+  D.Name = "swanbag";
+  D.DataCentres = {{DataCentreId("dc1"), 3, 17},
+                   {DataCentreId("dc2"), 3, 17},
+                   {DataCentreId("dc3"), 2, 16}};
+  D.WorkersPerRack = 8;
+  D.Accounts = accounts();
+  D.MostUrgent = {KindId("quick-proof"), 4, false};
+  D.Middle = {KindId("separation"), 2, false};
+  // Swanbag names two kinds of short work; previews stand for the rest.
+  D.LeastUrgent = {KindId("preview"), 1, true};
+  return D;
+}
+
+/// One data centre that a laptop can run, to try an experiment out.
+static Deployment small() {
+  Deployment D = kalahari();
+  D.Name = "small";
+  D.DataCentres = {{DataCentreId("dc1"), 2, 6}};
+  D.WorkersPerRack = 3;
+  return D;
+}
+
+absl::StatusOr<Deployment> Deployment::named(std::string_view Name) {
+  for (const Deployment &D : {kalahari(), swanbag(), small()})
+    if (D.Name == Name)
+      return D;
+  return absl::NotFoundError(fmt::format("no deployment named {}", Name));
+}
+
+} // namespace vanillayard
--- /dev/null
+++ b/tools/load/src/Experiment.cpp
@@ -0,0 +1,121 @@
+#include "load/Experiment.h"
+
+#include "load/LoadRun.h"
+#include "load/Report.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace vanillayard {
+
+/// Time for answers after the last arrival of a phase.
+static constexpr absl::Duration DrainTime = absl::Seconds(8);
+/// A driver that sends later than this was short of processor time, and its
+/// figures say more about the machine than about the hosts.
+static constexpr absl::Duration TolerableSendDelay = absl::Milliseconds(50);
+
+static const char *policyName(PolicyChoice Policy) {
+  return Policy == PolicyChoice::Baseline ? "baseline" : "chosen";
+}
+
+absl::Duration Experiment::phaseTime(const ExperimentOptions &Options) const {
+  constexpr int Policies = 2;
+  return Options.Budget * LoadShareOfBudget / (Policies * this->phases());
+}
+
+absl::StatusOr<Recorder>
+Experiment::runPhase(Trial &T, const std::string &Name,
+                     std::vector<LoadStream> Streams,
+                     const std::function<absl::Status()> &Meanwhile) {
+  T.Options.Progress(fmt::format("{} {} {}: {}", this->name(),
+                                 T.Options.Size.Name, policyName(T.Policy),
+                                 Name));
+  Workload::Builder Builder;
+  Builder.seed(T.Options.Seed).duration(this->phaseTime(T.Options));
+  for (LoadStream &Stream : Streams)
+    Builder.stream(std::move(Stream));
+  absl::StatusOr<Workload> Load = Builder.build();
+  if (!Load.ok())
+    return Load.status();
+  LoadRun Run(T.Bed.entryHosts(), *std::move(Load),
+              fmt::format("{}-{}", this->name(), Name), DrainTime);
+  absl::Status Script = Meanwhile ? Meanwhile() : absl::OkStatus();
+  absl::Status Ended = Run.wait();
+  if (!Script.ok())
+    return Script;
+  if (!Ended.ok())
+    return Ended;
+  nlohmann::json Json = Report::json(Run.records());
+  Json["worst_send_delay_ms"] =
+      absl::ToDoubleMilliseconds(Run.worstSendDelay());
+  T.Phases[Name] = std::move(Json);
+  if (Run.worstSendDelay() > TolerableSendDelay)
+    T.Options.Progress(
+        fmt::format("{}: the driver sent up to {:.0f} ms late", Name,
+                    absl::ToDoubleMilliseconds(Run.worstSendDelay())));
+  T.Options.Progress(Report::table(Run.records()));
+  addIntegrity(T, Name, Run.records());
+  return Run.records();
+}
+
+void Experiment::addIntegrity(Trial &T, const std::string &Phase,
+                              const Recorder &Records) {
+  Target None{Target::Bound::AtMost, 0, false};
+  auto Malformed = Records.total().countOf(Outcome::BadProblem);
+  T.add({Phase + ": wrong answers", "count",
+         static_cast<double>(Records.wrongAnswers()), None});
+  T.add({Phase + ": malformed errors", "count", static_cast<double>(Malformed),
+         None});
+}
+
+LoadStream Experiment::streamOf(const Deployment &Size,
+                                const DeploymentKind &Kind, std::string Name,
+                                absl::Duration RunTime,
+                                double ShareOfCapacity) {
+  LoadStream Stream;
+  Stream.Callers = {{CallerId(Name), 1}};
+  Stream.Name = std::move(Name);
+  Stream.Kind = Kind.Name;
+  Stream.Account = Size.Accounts.front();
+  Stream.RunTime = RunTime;
+  Stream.RatePerSecond =
+      Size.slots() / absl::ToDoubleSeconds(RunTime) * ShareOfCapacity;
+  Stream.Repeatable = Kind.Repeatable;
+  return Stream;
+}
+
+void Experiment::merge(std::vector<Measure> &Measures, const Figure &From,
+                       PolicyChoice Policy) {
+  auto Found =
+      std::find_if(Measures.begin(), Measures.end(),
+                   [&](const Measure &M) { return M.Name == From.Name; });
+  if (Found == Measures.end())
+    Found = Measures.insert(Measures.end(),
+                            {From.Name, From.Unit, 0, 0, From.Required});
+  (Policy == PolicyChoice::Baseline ? Found->Baseline : Found->Chosen) =
+      From.Value;
+}
+
+absl::StatusOr<ExperimentResult>
+Experiment::run(TestBedFactory &Factory, const ExperimentOptions &Options) {
+  ExperimentResult Result;
+  Result.Name = this->name();
+  Result.Deployment = Options.Size.Name;
+  Result.Seed = Options.Seed;
+  for (PolicyChoice Policy : {PolicyChoice::Baseline, PolicyChoice::Chosen}) {
+    auto Bed = Factory.start(Options.Size, Policy);
+    if (!Bed.ok())
+      return Bed.status();
+    Trial T{**Bed, Options, Policy, {}, {}};
+    absl::Status Status = this->measure(T);
+    if (!Status.ok())
+      return Status;
+    Result.Details[policyName(Policy)] = T.Phases;
+    for (const Figure &F : T.Figures)
+      merge(Result.Measures, F, Policy);
+  }
+  return Result;
+}
+
+} // namespace vanillayard
--- /dev/null
+++ b/tools/load/src/LoadRun.cpp
@@ -0,0 +1,44 @@
+#include "load/LoadRun.h"
+
+#include "load/OpenLoopDriver.h"
+#include "net/H2oHttpClient.h"
+#include "net/LoopExecutor.h"
+
+namespace vanillayard {
+
+LoadRun::LoadRun(std::vector<Endpoint> Hosts, Workload Load, std::string Name,
+                 absl::Duration DrainTime)
+    : Hosts(std::move(Hosts)), Load(std::move(Load)), Name(std::move(Name)),
+      DrainTime(DrainTime), Thread([this] { this->work(); }) {}
+
+LoadRun::~LoadRun() {
+  if (this->Thread.joinable())
+    this->Thread.join();
+}
+
+absl::Status LoadRun::wait() {
+  if (this->Thread.joinable())
+    this->Thread.join();
+  return this->Result;
+}
+
+void LoadRun::work() {
+  LoopExecutor Loop;
+  H2oHttpClient Client(Loop);
+  auto Driver = OpenLoopDriver::Builder(Loop, Client)
+                    .hosts(this->Hosts)
+                    .workload(std::move(this->Load))
+                    .recorder(this->Records)
+                    .runName(this->Name)
+                    .drainTime(this->DrainTime)
+                    .build();
+  if (!Driver.ok()) {
+    this->Result = Driver.status();
+    return;
+  }
+  (*Driver)->start([&] { Loop.stop(); });
+  Loop.run();
+  this->WorstSendDelay = (*Driver)->worstSendDelay();
+}
+
+} // namespace vanillayard
--- /dev/null
+++ b/tools/load/src/ProcessUsage.cpp
@@ -0,0 +1,56 @@
+#include "load/ProcessUsage.h"
+
+#include "base/AbslView.h"
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_split.h"
+
+#include <fmt/format.h>
+
+#include <fstream>
+#include <sstream>
+#include <unistd.h>
+#include <vector>
+
+namespace vanillayard {
+
+// Positions after the process name, whose closing bracket ends field 2 of
+// proc(5): utime is field 14, stime 15, rss 24.
+static constexpr size_t UserTimeField = 14 - 3;
+static constexpr size_t SystemTimeField = 15 - 3;
+static constexpr size_t ResidentField = 24 - 3;
+
+absl::StatusOr<ProcessUsage> ProcessUsage::parse(std::string_view Stat) {
+  // The name may contain spaces and brackets, so the last bracket counts.
+  size_t NameEnd = Stat.rfind(')');
+  if (NameEnd == std::string_view::npos)
+    return absl::InvalidArgumentError("no process name");
+  std::vector<std::string> Fields = absl::StrSplit(
+      abslView(Stat.substr(NameEnd + 1)), ' ', absl::SkipEmpty());
+  if (Fields.size() <= ResidentField)
+    return absl::InvalidArgumentError("too few fields");
+  int64_t User = 0;
+  int64_t System = 0;
+  int64_t Pages = 0;
+  if (!absl::SimpleAtoi(Fields[UserTimeField], &User) ||
+      !absl::SimpleAtoi(Fields[SystemTimeField], &System) ||
+      !absl::SimpleAtoi(Fields[ResidentField], &Pages))
+    return absl::InvalidArgumentError("a field is not a number");
+  ProcessUsage Usage;
+  Usage.ProcessorTime =
+      absl::Seconds(static_cast<double>(User + System) /
+                    static_cast<double>(sysconf(_SC_CLK_TCK)));
+  Usage.ResidentBytes = Pages * sysconf(_SC_PAGESIZE);
+  return Usage;
+}
+
+absl::StatusOr<ProcessUsage> ProcessUsage::of(pid_t Pid) {
+  std::ifstream File(fmt::format("/proc/{}/stat", Pid));
+  std::stringstream Text;
+  Text << File.rdbuf();
+  if (!File)
+    return absl::NotFoundError(fmt::format("no process {}", Pid));
+  return parse(Text.str());
+}
+
+} // namespace vanillayard
--- a/tools/load/src/Recorder.cpp
+++ b/tools/load/src/Recorder.cpp
@@ -3,6 +3,7 @@
 #include "load/LoadStream.h"
 #include "load/PlannedRequest.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace vanillayard {
@@ -15,20 +16,26 @@
   return Count;
 }
 
-static void addTo(GroupRecord &Group, const Outcome &Result) {
+static void addTo(GroupRecord &Group, const LoadStream &Stream,
+                  const Outcome &Result) {
   ++Group.Sent;
   ++Group.Outcomes[{Result.Name, Result.Execution}];
-  if (Result.Name == Outcome::Ok)
-    Group.Latency.add(absl::ToDoubleSeconds(Result.Latency));
+  if (Result.Name != Outcome::Ok) {
+    Group.Completion.add(
+        absl::ToDoubleSeconds(std::max(Result.Latency, Stream.Deadline)));
+    return;
+  }
+  Group.Latency.add(absl::ToDoubleSeconds(Result.Latency));
+  Group.Completion.add(absl::ToDoubleSeconds(Result.Latency));
 }
 
 void Recorder::record(const LoadStream &Stream, const PlannedRequest &Request,
                       const Outcome &Result) {
-  addTo(this->Total, Result);
-  addTo(this->Kinds[Stream.Kind.str()], Result);
-  addTo(this->Accounts[Stream.Account.str()], Result);
-  addTo(this->Classes[Stream.Name], Result);
-  addTo(this->Callers[Stream.Name][Request.Caller.str()], Result);
+  addTo(this->Total, Stream, Result);
+  addTo(this->Kinds[Stream.Kind.str()], Stream, Result);
+  addTo(this->Accounts[Stream.Account.str()], Stream, Result);
+  addTo(this->Classes[Stream.Name], Stream, Result);
+  addTo(this->Callers[Stream.Name][Request.Caller.str()], Stream, Result);
 }
 
 static const GroupRecord &find(const Recorder::Groups &Groups,
--- /dev/null
+++ b/tools/load/tests/ProcessUsageTest.cpp
@@ -0,0 +1,24 @@
+#include "load/ProcessUsage.h"
+
+#include <gtest/gtest.h>
+
+#include <unistd.h>
+
+using namespace vanillayard;
+
+// Guards against a name with spaces and brackets, which shifts all fields.
+TEST(ProcessUsageTest, ReadsTheFieldsAfterTheName) {
+  auto Usage = ProcessUsage::parse("7 (a) b (c) S 1 7 7 0 -1 4194304 100 0 0 0 "
+                                   "150 50 0 0 20 0 1 0 100 5000000 12 99");
+  ASSERT_TRUE(Usage.ok()) << Usage.status();
+  EXPECT_EQ(Usage->ProcessorTime, absl::Seconds(200.0 / sysconf(_SC_CLK_TCK)));
+  EXPECT_EQ(Usage->ResidentBytes, 12 * sysconf(_SC_PAGESIZE));
+  EXPECT_FALSE(ProcessUsage::parse("7 (a) S 1").ok());
+  EXPECT_FALSE(ProcessUsage::parse("").ok());
+}
+
+TEST(ProcessUsageTest, ReadsThisProcess) {
+  auto Usage = ProcessUsage::of(getpid());
+  ASSERT_TRUE(Usage.ok()) << Usage.status();
+  EXPECT_GT(Usage->ResidentBytes, 0);
+}
