--- a/tools/load/src/MostUrgentFlood.cpp
+++ b/tools/load/src/MostUrgentFlood.cpp
@@ -1,5 +1,6 @@
 #include "MostUrgentFlood.h"
 
+#include "load/DeploymentConfiguration.h"
 #include "load/Targets.h"
 
 #include <algorithm>
@@ -10,17 +11,16 @@
 static constexpr absl::Duration Deadline = absl::Seconds(5);
 /// Flood of the most urgent kind, relative to capacity.
 static constexpr double UrgentFloodFactor = 4;
-/// Share of the slots that the presets of the experiments reserve for urgent
-/// kinds; the entitlement of other kinds is a share of the rest.
-static constexpr double UrgentReserve = 0.125;
+
 /// The other kinds ask for less than they are entitled to, so a queue
 /// discipline that keeps their shares answers all of it.
 static constexpr double DemandOfEntitlement = 0.8;
 
 static LoadStream demandOf(const Deployment &Size, LoadStream Stream,
                            const DeploymentKind &Kind) {
-  Stream.RatePerSecond *=
-      Size.shareOf(Kind) * (1 - UrgentReserve) * DemandOfEntitlement;
+  Stream.RatePerSecond *= Size.shareOf(Kind) *
+                          (1 - DeploymentConfiguration::UrgentReserve) *
+                          DemandOfEntitlement;
   Stream.Deadline = Deadline;
   return Stream;
 }
--- a/tools/load/tests/ExperimentTest.cpp
+++ b/tools/load/tests/ExperimentTest.cpp
@@ -1,6 +1,8 @@
 #include "load/Experiment.h"
 
 #include "base/ErrorKind.h"
+#include "config/ConfigurationCodec.h"
+#include "load/DeploymentConfiguration.h"
 #include "load/LeastSquares.h"
 #include "load/PackingOracle.h"
 #include "load/Targets.h"
@@ -139,6 +141,11 @@
   EXPECT_EQ(Swanbag->hosts(), 8);
   EXPECT_EQ(Swanbag->workers(), 50);
   EXPECT_FALSE(Deployment::named("other").ok());
+  for (const Deployment &Size : {*Kalahari, *Swanbag}) {
+    absl::Status Valid = ConfigurationCodec::validate(
+        DeploymentConfiguration::make(Size, /*ExtraAccounts=*/20));
+    EXPECT_TRUE(Valid.ok()) << Valid;
+  }
 }
 
 // Guards against an oracle that calls a layout better than perfect, which
@@ -172,6 +179,7 @@
   auto Slope = *rc::gen::inRange(-50, 50);
   auto Intercept = *rc::gen::inRange(-50, 50);
   std::vector<LeastSquares::Point> Points;
+  Points.reserve(4);
   for (int X : {1, 4, 9, 16})
     Points.push_back(
         {static_cast<double>(X), static_cast<double>(Slope * X + Intercept)});
