--- a/libs/wire/tests/WireCodecTest.cpp
+++ b/libs/wire/tests/WireCodecTest.cpp
@@ -66,9 +66,11 @@
           anyBool() ? HostPhase::Live : HostPhase::Leaving,
           anyLoad(),
           anyList<WorkerView>(anyView),
+          anyCount(),
           anyId<Endpoint>(),
           anyList<Endpoint>(anyId<Endpoint>),
           anyCount(),
+          anyCount(),
           anyList<DataCentreDigest>(anyDigest),
           anyList<DataCentreId>(anyId<DataCentreId>),
           *rc::gen::arbitrary<std::vector<std::string>>()};
