--- a/tools/load/src/AnswerReader.cpp
+++ b/tools/load/src/AnswerReader.cpp
@@ -47,6 +47,25 @@
   return {Outcome::WrongAnswer, "ran", {}, {}};
 }
 
+/// A finished job has the result of each of its members, unless they were too
+/// large to keep.
+static Outcome readResults(const nlohmann::json &Job, std::string_view Owner,
+                           std::string_view Sent) {
+  const Outcome Wrong = {Outcome::WrongAnswer, "ran", {}, {}};
+  if (Job.value("results_omitted", nlohmann::json()) == true)
+    return {Outcome::Ok, "ran", {}, {}};
+  auto Results = Job.find("results");
+  if (Results == Job.end() || !Results->is_array() ||
+      nlohmann::json(Results->size()) != Job.value("gang_size", 1))
+    return Wrong;
+  for (const nlohmann::json &Result : *Results)
+    if (!Result.is_string() ||
+        !TaskBody::isResultOf(Result.get_ref<const std::string &>(), Owner,
+                              Sent))
+      return Wrong;
+  return {Outcome::Ok, "ran", {}, {}};
+}
+
 Outcome AnswerReader::readRequest(const absl::StatusOr<HttpResponse> &Answer,
                                   std::string_view Sent) {
   if (!Answer.ok())
@@ -82,11 +101,13 @@
   nlohmann::json Json = parseObject(Answer->Body);
   std::string State = textOf(Json, "state");
   if (State == "finished")
-    return readResult(textOf(Json, "result"), JobId, Sent);
+    return readResults(Json, JobId, Sent);
   if (State == "failed")
     return Outcome{"task_failed", "ran", {}, {}};
-  if (State == "cancelled" || State == "outcome_unknown")
-    return Outcome{State, "may_have_run", {}, {}};
+  for (const char *Ended :
+       {"cancelled", "never_fits", "deadline_expired", "outcome_unknown"})
+    if (State == Ended)
+      return Outcome{State, textOf(Json, "execution"), {}, {}};
   return std::nullopt;
 }
 
--- a/tools/load/src/ProcessUsage.cpp
+++ b/tools/load/src/ProcessUsage.cpp
@@ -4,6 +4,7 @@
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_split.h"
+#include "absl/strings/strip.h"
 
 #include <fmt/format.h>
 
@@ -20,7 +21,16 @@
 static constexpr size_t SystemTimeField = 15 - 3;
 static constexpr size_t ResidentField = 24 - 3;
 
-absl::StatusOr<ProcessUsage> ProcessUsage::parse(std::string_view Stat) {
+static bool readIoField(std::string_view Io, std::string_view Name,
+                        int64_t &Value) {
+  for (absl::string_view Line : absl::StrSplit(abslView(Io), '\n'))
+    if (absl::ConsumePrefix(&Line, abslView(Name)))
+      return absl::SimpleAtoi(Line, &Value);
+  return false;
+}
+
+absl::StatusOr<ProcessUsage> ProcessUsage::parse(std::string_view Stat,
+                                                 std::string_view Io) {
   // The name may contain spaces and brackets, so the last bracket counts.
   size_t NameEnd = Stat.rfind(')');
   if (NameEnd == std::string_view::npos)
@@ -41,16 +51,30 @@
       absl::Seconds(static_cast<double>(User + System) /
                     static_cast<double>(sysconf(_SC_CLK_TCK)));
   Usage.ResidentBytes = Pages * sysconf(_SC_PAGESIZE);
+  if (!readIoField(Io, "rchar: ", Usage.BytesRead) ||
+      !readIoField(Io, "wchar: ", Usage.BytesWritten))
+    return absl::InvalidArgumentError("no rchar or wchar");
   return Usage;
 }
 
-absl::StatusOr<ProcessUsage> ProcessUsage::of(pid_t Pid) {
-  std::ifstream File(fmt::format("/proc/{}/stat", Pid));
+static absl::StatusOr<std::string> readProc(pid_t Pid, const char *Name) {
+  std::ifstream File(fmt::format("/proc/{}/{}", Pid, Name));
   std::stringstream Text;
   Text << File.rdbuf();
   if (!File)
-    return absl::NotFoundError(fmt::format("no process {}", Pid));
-  return parse(Text.str());
+    return absl::NotFoundError(
+        fmt::format("cannot read /proc/{}/{}", Pid, Name));
+  return Text.str();
+}
+
+absl::StatusOr<ProcessUsage> ProcessUsage::of(pid_t Pid) {
+  absl::StatusOr<std::string> Stat = readProc(Pid, "stat");
+  if (!Stat.ok())
+    return Stat.status();
+  absl::StatusOr<std::string> Io = readProc(Pid, "io");
+  if (!Io.ok())
+    return Io.status();
+  return parse(*Stat, *Io);
 }
 
 } // namespace vanillayard
--- a/tools/load/tests/ExperimentTest.cpp
+++ b/tools/load/tests/ExperimentTest.cpp
@@ -154,6 +154,7 @@
   constexpr int PerRack = 3;
   auto Busy = *rc::gen::container<std::vector<int>>(9, rc::gen::inRange(0, 9));
   std::vector<WorkerOccupancy> Workers;
+  Workers.reserve(Busy.size());
   for (size_t I = 0; I < Busy.size(); ++I)
     Workers.push_back({DataCentreId("dc1"),
                        RackId(std::string(1, static_cast<char>('a' + I / 3))),
@@ -168,6 +169,7 @@
 
 TEST(PackingOracleTest, ScatteredWorkCountsAsFragmentation) {
   std::vector<WorkerOccupancy> Scattered;
+  Scattered.reserve(4);
   for (int I = 0; I < 4; ++I)
     Scattered.push_back({DataCentreId("dc1"), RackId("r"), 2});
   EXPECT_EQ(PackingOracle::largestStartable(Scattered, DataCentreId("dc1")), 0);
--- a/tools/load/tests/OpenLoopDriverTest.cpp
+++ b/tools/load/tests/OpenLoopDriverTest.cpp
@@ -267,9 +267,13 @@
       return HttpResponse{200, {}, R"({"state":"running"})"};
     if (Polls[Id] == 2)
       return makeError(ErrorKind::OutcomeUnknown, "connection lost");
-    nlohmann::json Json = {
-        {"state", "finished"},
-        {"result", TaskBody::parse(Bodies[Id], {}).result(Id, Bodies[Id])}};
+    std::string Result = TaskBody::parse(Bodies[Id], {}).result(Id, Bodies[Id]);
+    nlohmann::json Json = {{"state", "finished"},
+                           {"gang_size", 4},
+                           {"results", {Result, Result, Result, Result}}};
+    // A gang of which one member's result is missing is not complete.
+    if (Id == "job-run-0")
+      Json["results"].erase(3);
     return HttpResponse{200, {}, Json.dump()};
   };
   LoadStream Stream = steadyStream(5);
@@ -277,7 +281,8 @@
   Stream.Job.GangSizes = {4};
   Stream.Job.DeclaredFactor = 10;
   this->run(Stream);
-  EXPECT_EQ(this->Records.total().succeeded(), this->Planned.size());
+  EXPECT_EQ(this->Records.total().succeeded(), this->Planned.size() - 1);
+  EXPECT_EQ(this->Records.wrongAnswers(), 1U);
   EXPECT_EQ(Submissions.size(), this->Planned.size());
   for (const auto &[Key, Number] : Submissions)
     EXPECT_EQ(Number, 2) << Key;
