--- a/tools/load/src/AnswerReader.cpp
+++ b/tools/load/src/AnswerReader.cpp
@@ -51,7 +51,7 @@
 /// large to keep.
 static Outcome readResults(const nlohmann::json &Job, std::string_view Owner,
                            std::string_view Sent) {
-  const Outcome Wrong = {Outcome::WrongAnswer, "ran", {}, {}};
+  Outcome Wrong = {Outcome::WrongAnswer, "ran", {}, {}};
   if (Job.value("results_omitted", nlohmann::json()) == true)
     return {Outcome::Ok, "ran", {}, {}};
   auto Results = Job.find("results");
