Put the faults of the table on the workers of both gangs

Cause: taking out the rule that a lost non-repeatable job is not queued again left the table green: the faults hit a worker that only the repeatable gang used, so the case was not covered.

Change: the cases alone and twice run with a faulty worker of each gang, the pairs with one of the gang that must not run twice.

By removal: with the rule taken out, EachFaultAlone fails; a non-repeatable start after a failed placement write fails it too. With the reaction to a lost member taken out it passes, because the check of the oldest renewal stops the gang within the same bound.

--- a/libs/jobs/tests/JobsWorld.h
+++ b/libs/jobs/tests/JobsWorld.h
@@ -83,6 +83,8 @@
   /// Jobs that a caller was told will not run.
   std::set<JobId> NotRun;
   bool LoseNotices = false;
+  /// Worker that the cases of a table put their faults on.
+  size_t FaultyWorker = 0;
 
 private:
   struct GangWatch {
--- a/libs/jobs/tests/PlannerFaultTableTest.cpp
+++ b/libs/jobs/tests/PlannerFaultTableTest.cpp
@@ -16,8 +16,8 @@
 
 } // namespace
 
-// Host 0 is the planner when the fault comes, host 1 follows it. Worker 0 has
-// the lowest id and is used by every gang here.
+// Host 0 is the planner when the fault comes, host 1 follows it. Worker 0 is
+// used by the repeatable gang, worker 2 by the one that must not run twice.
 static const FaultCase Faults[] = {
     {"none", [](JobsWorld &) {}},
     {"store_down", [](JobsWorld &W) { W.Hosts[0].Service->setDown(true); }},
@@ -35,22 +35,33 @@
      }},
     {"store_reads_are_stale",
      [](JobsWorld &W) { W.Hosts[0].Service->setStaleReads(3); }},
-    {"worker_dies", [](JobsWorld &W) { W.Fleet.kill(W.address(0)); }},
-    {"worker_restarts", [](JobsWorld &W) { W.Fleet.restart(W.address(0)); }},
+    {"worker_dies",
+     [](JobsWorld &W) { W.Fleet.kill(W.address(W.FaultyWorker)); }},
+    {"worker_restarts",
+     [](JobsWorld &W) { W.Fleet.restart(W.address(W.FaultyWorker)); }},
     {"worker_loses_answers",
-     [](JobsWorld &W) { W.Fleet.faults(W.address(0)).LoseAnswers = 4; }},
+     [](JobsWorld &W) {
+       W.Fleet.faults(W.address(W.FaultyWorker)).LoseAnswers = 4;
+     }},
     {"worker_answers_late",
      [](JobsWorld &W) {
-       W.Fleet.faults(W.address(0)).AnswerDelay = absl::Milliseconds(1500);
+       W.Fleet.faults(W.address(W.FaultyWorker)).AnswerDelay =
+           absl::Milliseconds(1500);
      }},
     {"worker_answers_crossed",
-     [](JobsWorld &W) { W.Fleet.faults(W.address(0)).CrossAnswers = 3; }},
+     [](JobsWorld &W) {
+       W.Fleet.faults(W.address(W.FaultyWorker)).CrossAnswers = 3;
+     }},
     {"worker_answers_truncated",
-     [](JobsWorld &W) { W.Fleet.faults(W.address(0)).TruncateAnswers = 3; }},
+     [](JobsWorld &W) {
+       W.Fleet.faults(W.address(W.FaultyWorker)).TruncateAnswers = 3;
+     }},
     {"worker_frozen",
-     [](JobsWorld &W) { W.Fleet.setFrozen(W.address(0), true); }},
+     [](JobsWorld &W) { W.Fleet.setFrozen(W.address(W.FaultyWorker), true); }},
     {"link_cut",
-     [](JobsWorld &W) { W.Hosts[0].Workers->setLinkCut(W.address(0), true); }},
+     [](JobsWorld &W) {
+       W.Hosts[0].Workers->setLinkCut(W.address(W.FaultyWorker), true);
+     }},
     {"planner_cut_from_all_workers",
      [](JobsWorld &W) { W.Hosts[0].Workers->setAllLinksCut(true); }},
     {"planner_dies", [](JobsWorld &W) { W.failOver(0, 1, true); }},
@@ -63,7 +74,8 @@
          W.Hosts[0].Planner->setPlanner(false);
        W.Hosts[1].Planner->setPlanner(true);
      }},
-    {"worker_drains", [](JobsWorld &W) { W.setWorkerDraining(0, true); }},
+    {"worker_drains",
+     [](JobsWorld &W) { W.setWorkerDraining(W.FaultyWorker, true); }},
     {"notices_lost", [](JobsWorld &W) { W.LoseNotices = true; }},
 };
 
@@ -74,11 +86,13 @@
 // Submits, applies the faults at their times, heals, and expects that every
 // accepted job ends with one outcome and the oracle found nothing.
 static void runCase(const FaultCase &First, absl::Duration FirstAt,
-                    const FaultCase &Second, absl::Duration SecondAt) {
+                    const FaultCase &Second, absl::Duration SecondAt,
+                    size_t FaultyWorker) {
   SCOPED_TRACE(fmt::format("{} at {}, {} at {}", First.Name,
                            absl::FormatDuration(FirstAt), Second.Name,
                            absl::FormatDuration(SecondAt)));
   JobsWorld World(2, 2, 2);
+  World.FaultyWorker = FaultyWorker;
   World.Hosts[0].Planner->setPlanner(true);
   World.run(absl::Seconds(1));
   JobId Again = World.submit(
@@ -118,17 +132,20 @@
 TEST(PlannerFaultTableTest, EachFaultAlone) {
   for (const FaultCase &Fault : Faults)
     for (absl::Duration At : Moments)
-      runCase(Fault, At, Faults[0], At + absl::Seconds(1));
+      for (size_t Worker : {0, 2})
+        runCase(Fault, At, Faults[0], At + absl::Seconds(1), Worker);
 }
 
 TEST(PlannerFaultTableTest, EachFaultTwice) {
   for (const FaultCase &Fault : Faults)
     for (absl::Duration At : Moments)
-      runCase(Fault, At, Fault, At + absl::Seconds(4));
+      for (size_t Worker : {0, 2})
+        runCase(Fault, At, Fault, At + absl::Seconds(4), Worker);
 }
 
 TEST(PlannerFaultTableTest, FaultsInPairs) {
   for (const FaultCase &First : Faults)
     for (const FaultCase &Second : Faults)
-      runCase(First, absl::Milliseconds(6), Second, absl::Milliseconds(2500));
+      runCase(First, absl::Milliseconds(6), Second, absl::Milliseconds(2500),
+              2);
 }
--- a/libs/jobs/tests/PlannerTaskTest.cpp
+++ b/libs/jobs/tests/PlannerTaskTest.cpp
@@ -130,6 +130,7 @@
   EXPECT_EQ(World.stateOf(Never), JobState::NeverFits);
   JobId Expired = World.submit(Late, "late");
   std::vector<JobId> Wave;
+  Wave.reserve(300);
   for (int I = 0; I < 300; ++I)
     Wave.push_back(
         World.submit(JobsWorld::spec("small", 1, 1, absl::Seconds(5), false),
