--- a/libs/configsync/include/configsync/ConfigurationTask.h
+++ b/libs/configsync/include/configsync/ConfigurationTask.h
@@ -44,9 +44,7 @@
   void start();
 
   /// Null until there is one.
-  std::shared_ptr<const Configuration> current() const {
-    return this->Current;
-  }
+  std::shared_ptr<const Configuration> current() const { return this->Current; }
   /// The document in force as it was read; empty if there is none.
   const std::string &document() const { return this->Document; }
   /// Generation in force; 0 if there is none.
@@ -59,6 +57,10 @@
   int64_t appliedCount() const { return this->Applied; }
   int64_t refusedCount() const { return this->Refused; }
 
+  /// Why the last invalid document was refused; OK if there was none.
+  const absl::Status &lastRefusal() const { return this->Refusal; }
+  int64_t watchesOpened() const { return this->WatchesOpened; }
+
   /// A peer has a higher generation: asks it for the document.
   void onNewerGeneration(const HostId &Peer, int64_t Generation);
 
@@ -67,6 +69,7 @@
   void readDone(const absl::StatusOr<RangeResult> &Result);
   void openWatch(int64_t FromRevision);
   void watchEnded();
+  void applyStored(const StoredValue &Value);
   void apply(const std::string &Text);
 
   Executor &Exec;
@@ -79,11 +82,20 @@
   absl::Duration WatchBackoff = MinWatchBackoff;
   absl::Time NextWatch = absl::InfinitePast();
   Executor::TimerId ReadTimer = 0;
+  /// Revision of the newest document seen in the store. A read leaves out a
+  /// document that is not newer, so that regular reads stay within the budget
+  /// for control traffic.
+  int64_t SeenRevision = 0;
   bool ReadInFlight = false;
+  /// A read was left out because another one was in flight.
+  bool ReadDue = false;
   bool FetchInFlight = false;
   int FailedReads = 0;
   int64_t Applied = 0;
   int64_t Refused = 0;
+  std::string RefusedDocument;
+  absl::Status Refusal;
+  int64_t WatchesOpened = 0;
   /// Callbacks hold a weak pointer to it and do nothing when it is gone.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
--- a/libs/configsync/src/ConfigurationTask.cpp
+++ b/libs/configsync/src/ConfigurationTask.cpp
@@ -5,6 +5,7 @@
 #include "configsync/ConfigurationPeers.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace vanillayard {
 
@@ -13,9 +14,13 @@
                                      std::function<void()> Changed)
     : Exec(Exec), Service(Service), Peers(Peers), Changed(std::move(Changed)) {}
 
-ConfigurationTask::~ConfigurationTask() { this->Exec.cancel(this->ReadTimer); }
+ConfigurationTask::~ConfigurationTask() {
+  this->Exec.cancel(this->ReadTimer);
+}
 
-void ConfigurationTask::start() { this->read(); }
+void ConfigurationTask::start() {
+  this->read();
+}
 
 int64_t ConfigurationTask::generation() const {
   return this->Current ? this->Current->Generation : 0;
@@ -23,40 +28,55 @@
 
 void ConfigurationTask::read() {
   this->Exec.cancel(this->ReadTimer);
-  this->ReadTimer =
-      this->Exec.runAfter(ReadInterval, [this] { this->read(); });
-  if (this->ReadInFlight)
+  this->ReadTimer = this->Exec.runAfter(ReadInterval, [this] { this->read(); });
+  if (this->ReadInFlight) {
+    this->ReadDue = true;
     return;
+  }
   this->ReadInFlight = true;
-  this->Service.get(
-      Key, [this, Guard = std::weak_ptr<bool>(this->Alive)](
-               const absl::StatusOr<RangeResult> &Result) {
-        if (!Guard.expired())
-          this->readDone(Result);
-      });
+  this->Service.getChanged(Key, this->SeenRevision,
+                           [this, Guard = std::weak_ptr<bool>(this->Alive)](
+                               const absl::StatusOr<RangeResult> &Result) {
+                             if (!Guard.expired())
+                               this->readDone(Result);
+                           });
 }
 
 void ConfigurationTask::readDone(const absl::StatusOr<RangeResult> &Result) {
   this->ReadInFlight = false;
+  bool WasDue = std::exchange(this->ReadDue, false);
   if (!Result.ok()) {
     ++this->FailedReads;
+    // The read that was left out for the failed one would otherwise be made up
+    // for only after another interval.
+    if (WasDue)
+      this->read();
     return;
   }
   this->FailedReads = 0;
+  int64_t Before = this->generation();
   if (!Result->Values.empty())
-    this->apply(Result->Values.front().Value);
+    this->applyStored(Result->Values.front());
+  // A service that was set up anew has lower revisions; the next read must not
+  // leave out its document.
+  if (Result->Revision < this->SeenRevision)
+    this->SeenRevision = 0;
+  // An open watch that did not pass on this change has failed silently.
+  if (this->generation() > Before)
+    this->Watch.reset();
   if (!this->Watch && this->Exec.now() >= this->NextWatch)
     this->openWatch(Result->Revision + 1);
 }
 
 void ConfigurationTask::openWatch(int64_t FromRevision) {
+  ++this->WatchesOpened;
   this->Watch = this->Service.watch(
       Key, FromRevision,
       [this](const std::vector<WatchEvent> &Events) {
         this->WatchBackoff = MinWatchBackoff;
         for (const WatchEvent &Event : Events)
-          if (!Event.Deleted)
-            this->apply(Event.Value.Value);
+          if (!Event.Deleted && Event.Value.Key == Key)
+            this->applyStored(Event.Value);
       },
       [this](const absl::Status &) { this->watchEnded(); });
 }
@@ -92,12 +112,19 @@
                     });
 }
 
+void ConfigurationTask::applyStored(const StoredValue &Value) {
+  this->SeenRevision = std::max(this->SeenRevision, Value.ModRevision);
+  this->apply(Value.Value);
+}
+
 void ConfigurationTask::apply(const std::string &Text) {
-  if (Text.empty() || Text == this->Document)
+  if (Text.empty() || Text == this->Document || Text == this->RefusedDocument)
     return;
   absl::StatusOr<Configuration> Parsed = ConfigurationCodec::decode(Text);
   if (!Parsed.ok()) {
     ++this->Refused;
+    this->RefusedDocument = Text;
+    this->Refusal = Parsed.status();
     return;
   }
   if (Parsed->Generation <= this->generation())
--- a/libs/platform/include/platform/EtcdStore.h
+++ b/libs/platform/include/platform/EtcdStore.h
@@ -43,6 +43,8 @@
   EtcdStore &operator=(const EtcdStore &) = delete;
 
   void get(const std::string &Key, RangeCallback Done) override;
+  void getChanged(const std::string &Key, int64_t Since,
+                  RangeCallback Done) override;
   void list(const std::string &Prefix, RangeCallback Done) override;
   void write(std::vector<ConditionalWrite> Writes, WriteCallback Done) override;
   std::unique_ptr<StoreWatch> watch(const std::string &Prefix,
--- a/libs/platform/include/platform/Store.h
+++ b/libs/platform/include/platform/Store.h
@@ -76,6 +76,21 @@
   /// Reads one key. The result has at most one value.
   virtual void get(const std::string &Key, RangeCallback Done) = 0;
 
+  /// Reads one key if it was changed after revision \p Since. The result is
+  /// empty if it was not or if there is no such key, so that a value that is
+  /// known already is not sent again. The standard version reads the key in
+  /// any case.
+  virtual void getChanged(const std::string &Key, int64_t Since,
+                          RangeCallback Done) {
+    this->get(Key, [Since, Done = std::move(Done)](
+                       absl::StatusOr<RangeResult> Result) {
+      if (Result.ok() && !Result->Values.empty() &&
+          Result->Values.front().ModRevision <= Since)
+        Result->Values.clear();
+      Done(std::move(Result));
+    });
+  }
+
   /// Reads all keys that begin with \p Prefix, in order of key.
   virtual void list(const std::string &Prefix, RangeCallback Done) = 0;
 
--- a/libs/platform/src/EtcdStore.cpp
+++ b/libs/platform/src/EtcdStore.cpp
@@ -85,7 +85,15 @@
 }
 
 void EtcdStore::get(const std::string &Key, RangeCallback Done) {
-  this->call("/v3/kv/range", rangeRequest(Key, "", 0, 0),
+  this->getChanged(Key, 0, std::move(Done));
+}
+
+void EtcdStore::getChanged(const std::string &Key, int64_t Since,
+                           RangeCallback Done) {
+  json Body = rangeRequest(Key, "", 0, 0);
+  if (Since > 0)
+    Body["min_mod_revision"] = std::to_string(Since + 1);
+  this->call("/v3/kv/range", Body,
              [Done = std::move(Done)](const absl::StatusOr<json> &Answer) {
                Done(parseIfOk<RangeResult>(Answer, parseRange));
              });
--- a/libs/platform/tests/StoreContract.cpp
+++ b/libs/platform/tests/StoreContract.cpp
@@ -152,6 +152,29 @@
   EXPECT_EQ(Found->Values[0].Value, "long");
 }
 
+// Guards against a change that is taken for a known value, which would keep an
+// old configuration in force.
+TEST_P(StoreContractTest, GetChangedLeavesOutAKnownValue) {
+  auto Changed = [&](int64_t Since) {
+    return await<RangeResult>(*this->Env, [&](Store::RangeCallback Done) {
+      this->Env->store().getChanged("/c", Since, std::move(Done));
+    });
+  };
+  auto First = this->write({{"/c", 0, "1", false}});
+  ASSERT_TRUE(First.ok());
+  int64_t Known = (*First)[0].ModRevision;
+  ASSERT_TRUE(this->write({{"/other", 0, "x", false}}).ok());
+  auto Same = Changed(Known);
+  ASSERT_TRUE(Same.ok()) << Same.status();
+  EXPECT_TRUE(Same->Values.empty());
+  EXPECT_GT(Same->Revision, Known);
+  EXPECT_EQ(Changed(Known - 1)->Values.size(), 1u);
+  ASSERT_TRUE(this->write({{"/c", Known, "2", false}}).ok());
+  auto New = Changed(Known);
+  ASSERT_EQ(New->Values.size(), 1u);
+  EXPECT_EQ(New->Values[0].Value, "2");
+}
+
 // Guards against a change that falls between a read and the watch after it.
 TEST_P(StoreContractTest, WatchBeginsAtTheRevisionAsked) {
   auto First = this->write({{"/w/1", 0, "old", false}});
--- a/standins/platform/src/EtcdGateway.cpp
+++ b/standins/platform/src/EtcdGateway.cpp
@@ -57,9 +57,15 @@
   }
   std::vector<KeyValue> Found = this->State.range(rangeOf(Request), At);
   size_t Count = Found.size();
+  int64_t MinModRevision = numberOf(Request, "min_mod_revision");
+  Found.erase(std::remove_if(Found.begin(), Found.end(),
+                             [&](const KeyValue &Value) {
+                               return Value.ModRevision < MinModRevision;
+                             }),
+              Found.end());
   auto Limit = static_cast<size_t>(numberOf(Request, "limit"));
   json Result = {{"header", Header}};
-  if (Limit > 0 && Count > Limit) {
+  if (Limit > 0 && Found.size() > Limit) {
     Found.resize(Limit);
     Result["more"] = true;
   }
