--- a/libs/peer/src/MembershipHeartbeat.cpp
+++ b/libs/peer/src/MembershipHeartbeat.cpp
@@ -22,6 +22,8 @@
 /// often, to be short.
 static constexpr uint64_t AddressEvery = 8;
 static constexpr uint64_t KnownPeerEvery = 4;
+/// A digest whose list of hosts has not changed is passed on only so often.
+static constexpr uint64_t PassOnEvery = 2;
 static constexpr size_t MaxKnownPeers = 16;
 static constexpr size_t MaxWarnings = 16;
 
@@ -103,6 +105,7 @@
   Beat.Generation = this->Generation;
   Beat.Phase = this->IsLeaving ? HostPhase::Leaving : HostPhase::Live;
   Beat.Load = this->Load;
+  Beat.Relaying = this->IsRelaying;
   if (Beats < IntroductionBeats || Beats % AddressEvery == 0)
     Beat.Address = this->Address;
   Beat.KnownPeers = this->peersFor(To, Beats);
@@ -121,7 +124,7 @@
     if (Beat.ViewsSeen > 0)
       Beat.ViewsSeenOf = To->Incarnation;
   }
-  this->addDigests(*To, Beat);
+  this->addDigests(*To, Beats, Beat);
   Beat.WantedHostsOf = this->Digests.takeWanted(To->Host);
   return Beat;
 }
@@ -165,18 +168,33 @@
   return Digest;
 }
 
-void Membership::Impl::addDigests(const PeerHost &To, Heartbeat &Beat) {
-  if (!this->IsRelaying || !this->isPlanner())
+// Hosts near the number at which relaying begins and ends may differ on it. A
+// planner serves those that relay, also when it does not itself.
+bool Membership::Impl::hasToRelay() const {
+  auto All = this->Hosts.all();
+  return this->IsRelaying ||
+         std::any_of(All.begin(), All.end(), [](const PeerHost *Host) {
+           return Host->IsRelaying && Host->isUsable();
+         });
+}
+
+void Membership::Impl::addDigests(const PeerHost &To, uint64_t Beats,
+                                  Heartbeat &Beat) {
+  if (!this->isPlanner() || !this->hasToRelay())
     return;
   if (To.DataCentre != this->DataCentre) {
     Beat.Digests.push_back(
         this->Digests.prepare(To.Host, this->digestOf(this->DataCentre)));
     return;
   }
-  for (const DataCentreId &Of : this->Hosts.dataCentres())
-    if (Of != this->DataCentre)
-      Beat.Digests.push_back(
-          this->Digests.prepare(To.Host, this->digestOf(Of)));
+  for (const DataCentreId &Of : this->Hosts.dataCentres()) {
+    if (Of == this->DataCentre)
+      continue;
+    DataCentreDigest Digest =
+        this->Digests.prepare(To.Host, this->digestOf(Of));
+    if (!Digest.Hosts.empty() || Beats % PassOnEvery == 0)
+      Beat.Digests.push_back(std::move(Digest));
+  }
 }
 
 absl::Status Membership::Impl::send(const HostId &To, PeerMessage Message,
--- a/libs/platform/src/EtcdWatch.cpp
+++ b/libs/platform/src/EtcdWatch.cpp
@@ -59,7 +59,7 @@
     return;
   }
   const json &Result = Message["result"];
-  if (false && Result.contains("canceled") && Result["canceled"] == true) {
+  if (Result.contains("canceled") && Result["canceled"] == true) {
     this->end(platformError("the service cancelled the watch"));
     return;
   }
--- a/libs/platform/tests/EtcdStoreTest.cpp
+++ b/libs/platform/tests/EtcdStoreTest.cpp
@@ -209,13 +209,18 @@
     H2oHttpClient Client(Loop);
     EtcdStore Store(Client, Loop, (*Server)->address(), absl::Seconds(5));
     int Changes = 0;
+    bool Ended = false;
     auto Watch = Store.watch(
         "/", 0, [&](const std::vector<WatchEvent> &) { ++Changes; },
         [&](const absl::Status &Status) {
           EXPECT_EQ(errorKindOf(Status), ErrorKind::PlatformUnavailable);
+          Ended = true;
           Loop.stop();
         });
+    // Reached only on failure.
+    Loop.runAfter(absl::Seconds(20), [&] { Loop.stop(); });
     Loop.run();
     EXPECT_EQ(Changes, 1) << Last;
+    EXPECT_TRUE(Ended) << Last;
   }
 }
