--- a/testing/include/testing/Cluster.h
+++ b/testing/include/testing/Cluster.h
@@ -40,6 +40,10 @@
     Builder &hostsPerDataCentre(int Value);
     /// Default 6.
     Builder &workersPerDataCentre(int Value);
+    /// Numbers for each data centre in turn, where they are not equal. They
+    /// set the number of data centres too.
+    Builder &hostsByDataCentre(std::vector<int> Values);
+    Builder &workersByDataCentre(std::vector<int> Values);
     /// Default 6.
     Builder &workersPerRack(int Value);
     /// Workers that share a process and so die together. Default: all those
@@ -57,6 +61,8 @@
     int DataCentres = 1;
     int HostsPerDataCentre = 2;
     int WorkersPerDataCentre = 6;
+    std::vector<int> HostsByDataCentre;
+    std::vector<int> WorkersByDataCentre;
     int WorkersPerRack = 6;
     int WorkersPerProcess = 0;
     std::string Configuration;
@@ -104,7 +110,7 @@
 
   absl::Status startAll();
   absl::Status startPlatform();
-  absl::Status startWorkers(const DataCentreId &DataCentre);
+  absl::Status startWorkers(const DataCentreId &DataCentre, int Total);
   absl::Status startWorkerProcess(const DataCentreId &DataCentre, int First,
                                   int Count);
   absl::Status putConfiguration();
--- a/testing/src/Cluster.cpp
+++ b/testing/src/Cluster.cpp
@@ -14,6 +14,11 @@
 
 Cluster::~Cluster() = default;
 
+static int numberFor(int DataCentre, const std::vector<int> &Each, int All) {
+  auto Index = static_cast<size_t>(DataCentre - 1);
+  return Index < Each.size() ? Each[Index] : All;
+}
+
 absl::Status Cluster::startAll() {
   if (absl::Status Started = this->startPlatform(); !Started.ok())
     return Started;
@@ -21,9 +26,14 @@
     return Written;
   for (int I = 1; I <= this->Options.DataCentres; ++I) {
     DataCentreId DataCentre(fmt::format("dc{}", I));
-    if (absl::Status Started = this->startWorkers(DataCentre); !Started.ok())
+    int Workers = numberFor(I, this->Options.WorkersByDataCentre,
+                            this->Options.WorkersPerDataCentre);
+    int EntryHosts = numberFor(I, this->Options.HostsByDataCentre,
+                               this->Options.HostsPerDataCentre);
+    if (absl::Status Started = this->startWorkers(DataCentre, Workers);
+        !Started.ok())
       return Started;
-    for (int H = 1; H <= this->Options.HostsPerDataCentre; ++H) {
+    for (int H = 1; H <= EntryHosts; ++H) {
       EntryHostNode Host;
       Host.Name = HostId(fmt::format("dc{}-entry{}", I, H));
       Host.DataCentre = DataCentre;
@@ -54,8 +64,7 @@
   return absl::OkStatus();
 }
 
-absl::Status Cluster::startWorkers(const DataCentreId &DataCentre) {
-  int Total = this->Options.WorkersPerDataCentre;
+absl::Status Cluster::startWorkers(const DataCentreId &DataCentre, int Total) {
   int Each = this->Options.WorkersPerProcess > 0
                  ? this->Options.WorkersPerProcess
                  : Total;
--- a/testing/src/ClusterBuilder.cpp
+++ b/testing/src/ClusterBuilder.cpp
@@ -19,6 +19,18 @@
   return *this;
 }
 
+Builder &Builder::hostsByDataCentre(std::vector<int> Values) {
+  this->DataCentres = static_cast<int>(Values.size());
+  this->HostsByDataCentre = std::move(Values);
+  return *this;
+}
+
+Builder &Builder::workersByDataCentre(std::vector<int> Values) {
+  this->DataCentres = static_cast<int>(Values.size());
+  this->WorkersByDataCentre = std::move(Values);
+  return *this;
+}
+
 Builder &Builder::workersPerRack(int Value) {
   this->WorkersPerRack = Value;
   return *this;
--- a/tools/load/include/load/Experiment.h
+++ b/tools/load/include/load/Experiment.h
@@ -19,6 +19,8 @@
 
 namespace vanillayard {
 
+class LoadRun;
+
 struct ExperimentOptions {
   Deployment Size;
   /// Bound on the time of one experiment, both policies and all phases.
@@ -75,11 +77,13 @@
 
   absl::Duration phaseTime(const ExperimentOptions &Options) const;
 
+  using Script = std::function<absl::Status(LoadRun &)>;
+
   /// Runs a workload as phase \p Name. \p Meanwhile runs during the load, in
   /// the caller's thread.
-  absl::StatusOr<Recorder>
-  runPhase(Trial &T, const std::string &Name, std::vector<LoadStream> Streams,
-           const std::function<absl::Status()> &Meanwhile = nullptr);
+  absl::StatusOr<Recorder> runPhase(Trial &T, const std::string &Name,
+                                    std::vector<LoadStream> Streams,
+                                    const Script &Meanwhile = nullptr);
 
   /// A stream of one caller with its rate set to \p ShareOfCapacity of the
   /// rate at which all slots would be busy.
--- a/tools/load/include/load/LoadRun.h
+++ b/tools/load/include/load/LoadRun.h
@@ -7,12 +7,16 @@
 
 #include "absl/status/status.h"
 
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
 
 namespace vanillayard {
 
+class LoopExecutor;
+class OpenLoopDriver;
+
 /// Sends a workload over HTTP from a thread with a loop of its own, so that
 /// the experiment's script may block meanwhile.
 class LoadRun {
@@ -28,14 +32,22 @@
   /// that the driver refuses.
   absl::Status wait();
 
+  /// Changes the entry hosts of later requests, as a balancer does that is
+  /// told of a new host. From the script's thread.
+  void setHosts(std::vector<Endpoint> Value);
+
   /// After wait().
   const Recorder &records() const { return this->Records; }
   absl::Duration worstSendDelay() const { return this->WorstSendDelay; }
 
 private:
   void work();
+  void takeHosts(OpenLoopDriver &Driver, LoopExecutor &Loop);
 
+  std::mutex HostsGuard;
+  /// Guarded by HostsGuard.
   std::vector<Endpoint> Hosts;
+  bool HostsChanged = false;
   Workload Load;
   std::string Name;
   absl::Duration DrainTime;
--- a/tools/load/src/Experiment.cpp
+++ b/tools/load/src/Experiment.cpp
@@ -24,10 +24,9 @@
   return Options.Budget * LoadShareOfBudget / (Policies * this->phases());
 }
 
-absl::StatusOr<Recorder>
-Experiment::runPhase(Trial &T, const std::string &Name,
-                     std::vector<LoadStream> Streams,
-                     const std::function<absl::Status()> &Meanwhile) {
+absl::StatusOr<Recorder> Experiment::runPhase(Trial &T, const std::string &Name,
+                                              std::vector<LoadStream> Streams,
+                                              const Script &Meanwhile) {
   T.Options.Progress(fmt::format("{} {} {}: {}", this->name(),
                                  T.Options.Size.Name, policyName(T.Policy),
                                  Name));
@@ -40,10 +39,10 @@
     return Load.status();
   LoadRun Run(T.Bed.entryHosts(), *std::move(Load),
               fmt::format("{}-{}", this->name(), Name), DrainTime);
-  absl::Status Script = Meanwhile ? Meanwhile() : absl::OkStatus();
+  absl::Status Scripted = Meanwhile ? Meanwhile(Run) : absl::OkStatus();
   absl::Status Ended = Run.wait();
-  if (!Script.ok())
-    return Script;
+  if (!Scripted.ok())
+    return Scripted;
   if (!Ended.ok())
     return Ended;
   nlohmann::json Json = Report::json(Run.records());
--- a/tools/load/src/GangMix.cpp
+++ b/tools/load/src/GangMix.cpp
@@ -64,8 +64,9 @@
              GangMembers, Deployment::AcceleratorsPerWorker, 1);
   Packing Sum;
   absl::Duration Time = this->phaseTime(T.Options);
-  auto Records = this->runPhase(T, "mix", {Short, Pair, Gang},
-                                [&] { return samplePacking(T, Time, Sum); });
+  auto Records = this->runPhase(T, "mix", {Short, Pair, Gang}, [&](LoadRun &) {
+    return samplePacking(T, Time, Sum);
+  });
   if (!Records.ok())
     return Records.status();
 
--- a/tools/load/src/LoadRun.cpp
+++ b/tools/load/src/LoadRun.cpp
@@ -4,8 +4,13 @@
 #include "net/H2oHttpClient.h"
 #include "net/LoopExecutor.h"
 
+#include <utility>
+
 namespace vanillayard {
 
+/// Time between looks at the list of hosts.
+static constexpr absl::Duration HostsInterval = absl::Milliseconds(20);
+
 LoadRun::LoadRun(std::vector<Endpoint> Hosts, Workload Load, std::string Name,
                  absl::Duration DrainTime)
     : Hosts(std::move(Hosts)), Load(std::move(Load)), Name(std::move(Name)),
@@ -22,6 +27,21 @@
   return this->Result;
 }
 
+void LoadRun::setHosts(std::vector<Endpoint> Value) {
+  std::lock_guard<std::mutex> Lock(this->HostsGuard);
+  this->Hosts = std::move(Value);
+  this->HostsChanged = true;
+}
+
+void LoadRun::takeHosts(OpenLoopDriver &Driver, LoopExecutor &Loop) {
+  {
+    std::lock_guard<std::mutex> Lock(this->HostsGuard);
+    if (std::exchange(this->HostsChanged, false))
+      Driver.setHosts(this->Hosts);
+  }
+  Loop.runAfter(HostsInterval, [&] { this->takeHosts(Driver, Loop); });
+}
+
 void LoadRun::work() {
   LoopExecutor Loop;
   H2oHttpClient Client(Loop);
@@ -36,6 +56,7 @@
     this->Result = Driver.status();
     return;
   }
+  this->takeHosts(**Driver, Loop);
   (*Driver)->start([&] { Loop.stop(); });
   Loop.run();
   this->WorstSendDelay = (*Driver)->worstSendDelay();
--- a/tools/load/src/RollingRestart.cpp
+++ b/tools/load/src/RollingRestart.cpp
@@ -1,5 +1,6 @@
 #include "RollingRestart.h"
 
+#include "load/LoadRun.h"
 #include "load/Targets.h"
 
 namespace vanillayard {
@@ -22,11 +23,12 @@
     return Steady.status();
   int Restarted = 0;
   absl::Time Until = absl::Now() + this->phaseTime(T.Options);
-  auto Restart = [&] {
+  auto Restart = [&](LoadRun &Run) {
     for (int I = 0; I < Size.hosts() && absl::Now() < Until; ++I) {
       absl::Status Status = T.Bed.restartHost(static_cast<size_t>(I));
       if (!Status.ok())
         return Status;
+      Run.setHosts(T.Bed.entryHosts());
       ++Restarted;
     }
     return absl::OkStatus();
