Make the demo pass: listener names and the preset command

Cause: the harness and the daemon used different names for the listeners, and the demo called the command line without 'set'. Change: both use caller, admin and peer; the demo calls 'preset set'.

--- a/testing/src/Cluster.cpp
+++ b/testing/src/Cluster.cpp
@@ -131,11 +131,11 @@
   if (!Addresses.ok())
     return Addresses.status();
   for (const ListeningAddress &Line : *Addresses) {
-    if (Line.Name.empty())
+    if (Line.Name == "caller")
       Host.Caller = Line.Address;
     else if (Line.Name == "admin")
       Host.Admin = Line.Address;
-    else if (Line.Name == "peers")
+    else if (Line.Name == "peer")
       Host.Peer = Line.Address;
   }
   return this->publishHosts();
--- a/tools/demo/src/Demo.cpp
+++ b/tools/demo/src/Demo.cpp
@@ -255,8 +255,8 @@
 
 void Demo::presetChange() {
   this->step("a preset change by the command line");
-  auto Output = this->Hosts.command(0, {"preset", "peak"});
-  this->check(Output.ok(), fmt::format("vanillayard preset peak: {}",
+  auto Output = this->Hosts.command(0, {"preset", "set", "peak"});
+  this->check(Output.ok(), fmt::format("vanillayard preset set peak: {}",
                                        Output.status().ToString()));
   absl::Time Start = this->Hosts.http().loop().now();
   bool IsInForce = this->Hosts.http().runUntil(
--- a/tools/vanillayardd/main.cpp
+++ b/tools/vanillayardd/main.cpp
@@ -35,12 +35,12 @@
 
 static int serve(const Settings &Options) {
   LoopExecutor Loop;
-  absl::StatusOr<std::unique_ptr<Daemon>> Host =
-      Daemon::create(Loop, Options);
+  absl::StatusOr<std::unique_ptr<Daemon>> Host = Daemon::create(Loop, Options);
   if (!Host.ok())
     return fail(Host.status(), EXIT_FAILURE);
-  fmt::print("listening {} caller\nlistening {} admin\nlistening {} peer\n", (*Host)->callerAddress().str(),
-             (*Host)->adminAddress().str(), (*Host)->peerAddress().str());
+  fmt::print("listening {} caller\nlistening {} admin\nlistening {} peer\n",
+             (*Host)->callerAddress().str(), (*Host)->adminAddress().str(),
+             (*Host)->peerAddress().str());
   std::fflush(stdout);
   auto Stop = [&] { (*Host)->shutDown([&] { Loop.stop(); }); };
   Loop.onSignal(SIGTERM, Stop);
