Publish the host list by PUT; require answers without overload

Cause: the stand-in platform takes the host list by PUT; the harness sent POST, which the stand-in answered with 200 and the empty list, so no host ever knew a worker. And a ratio of two phases in which everything failed was 1 and counted as met.

Change: the harness uses PUT. Each experiment requires that the phase without overload answers at least 0.99 of its requests.

--- a/testing/src/ClusterFiles.cpp
+++ b/testing/src/ClusterFiles.cpp
@@ -84,8 +84,11 @@
                      {"address", Worker.Address.str()},
                      {"state", IsLeaving ? "leaving" : "live"}});
   }
-  json Body = {{"hosts", std::move(Hosts)}};
-  return checkOk(this->Http.post(this->Platform, "/v1/hosts", Body.dump()),
+  HttpRequest Request;
+  Request.Method = "PUT";
+  Request.Path = "/v1/hosts";
+  Request.Body = json{{"hosts", std::move(Hosts)}}.dump();
+  return checkOk(this->Http.call(this->Platform, std::move(Request)),
                  "writing the host list");
 }
 
--- a/tools/load/include/load/Experiment.h
+++ b/tools/load/include/load/Experiment.h
@@ -96,6 +96,11 @@
   static void addIntegrity(Trial &T, const std::string &Phase,
                            const Recorder &Records);
 
+  /// Requires that a phase without overload answers nearly everything, as a
+  /// ratio to a phase in which everything failed says nothing.
+  static void addAnswered(Trial &T, const std::string &Phase,
+                          const GroupRecord &Record);
+
 private:
   static void merge(std::vector<Measure> &Measures, const Figure &From,
                     PolicyChoice Policy);
--- a/tools/load/include/load/Targets.h
+++ b/tools/load/include/load/Targets.h
@@ -31,6 +31,10 @@
 /// a row, and each host of the data centre may have to see them by itself.
 inline constexpr int MaxLostPerHost = 3;
 
+/// Share of requests answered in a phase that offers less than capacity.
+/// Below it a comparison with that phase is void.
+inline constexpr double MinAnsweredUnloaded = 0.99;
+
 /// Requests that a planned restart of every host in turn may break.
 inline constexpr int MaxBrokenByRestart = 0;
 
--- a/tools/load/src/Experiment.cpp
+++ b/tools/load/src/Experiment.cpp
@@ -2,6 +2,7 @@
 
 #include "load/LoadRun.h"
 #include "load/Report.h"
+#include "load/Targets.h"
 
 #include <fmt/format.h>
 
@@ -68,6 +69,14 @@
          None});
 }
 
+void Experiment::addAnswered(Trial &T, const std::string &Phase,
+                             const GroupRecord &Record) {
+  double Share = static_cast<double>(Record.succeeded()) /
+                 std::max(1.0, static_cast<double>(Record.Sent));
+  T.add({Phase + ": requests answered", "share", Share,
+         Target{Target::Bound::AtLeast, targets::MinAnsweredUnloaded, false}});
+}
+
 LoadStream Experiment::streamOf(const Deployment &Size,
                                 const DeploymentKind &Kind, std::string Name,
                                 absl::Duration RunTime,
--- a/tools/load/src/FailingWorker.cpp
+++ b/tools/load/src/FailingWorker.cpp
@@ -17,6 +17,7 @@
   auto Healthy = this->runPhase(T, "healthy", {Steady});
   if (!Healthy.ok())
     return Healthy.status();
+  addAnswered(T, "healthy", Healthy->total());
   absl::Status Failing = T.Bed.failWorker(true);
   if (!Failing.ok())
     return Failing;
--- a/tools/load/src/GangMix.cpp
+++ b/tools/load/src/GangMix.cpp
@@ -69,6 +69,7 @@
   });
   if (!Records.ok())
     return Records.status();
+  addAnswered(T, "mix", Records->total());
 
   const GroupRecord &Gangs = Records->ofClass("gang");
   Target Better{Target::Bound::Below, targets::MaxGangCompletionRatio, true};
--- a/tools/load/src/LeastUrgentFlood.cpp
+++ b/tools/load/src/LeastUrgentFlood.cpp
@@ -26,6 +26,7 @@
   auto Alone = this->runPhase(T, "alone", {Urgent});
   if (!Alone.ok())
     return Alone.status();
+  addAnswered(T, "alone", Alone->ofClass("urgent"));
   auto Flooded = this->runPhase(T, "flood", {Urgent, Flood});
   if (!Flooded.ok())
     return Flooded.status();
--- a/tools/load/src/MostUrgentFlood.cpp
+++ b/tools/load/src/MostUrgentFlood.cpp
@@ -39,6 +39,7 @@
   auto Alone = this->runPhase(T, "alone", {Middle, Least});
   if (!Alone.ok())
     return Alone.status();
+  addAnswered(T, "alone", Alone->total());
   auto Flooded = this->runPhase(T, "flood", {Middle, Least, Flood});
   if (!Flooded.ok())
     return Flooded.status();
--- a/tools/load/src/RollingRestart.cpp
+++ b/tools/load/src/RollingRestart.cpp
@@ -21,6 +21,7 @@
   auto Steady = this->runPhase(T, "steady", Streams);
   if (!Steady.ok())
     return Steady.status();
+  addAnswered(T, "steady", Steady->total());
   int Restarted = 0;
   absl::Time Until = absl::Now() + this->phaseTime(T.Options);
   auto Restart = [&](LoadRun &Run) {
--- a/tools/load/src/SmallCallers.cpp
+++ b/tools/load/src/SmallCallers.cpp
@@ -30,6 +30,7 @@
   auto Alone = this->runPhase(T, "alone", {Small});
   if (!Alone.ok())
     return Alone.status();
+  addAnswered(T, "alone", Alone->ofClass("small"));
   auto Beside = this->runPhase(T, "beside", {Small, Large});
   if (!Beside.ok())
     return Beside.status();
--- a/tools/load/tests/ExperimentTest.cpp
+++ b/tools/load/tests/ExperimentTest.cpp
@@ -97,12 +97,12 @@
   ASSERT_TRUE(Result.ok()) << Result.status();
   EXPECT_EQ(Factory.Started,
             (std::vector{PolicyChoice::Baseline, PolicyChoice::Chosen}));
-  EXPECT_EQ(Result->Measures.size(), 8U);
+  EXPECT_EQ(Result->Measures.size(), 9U);
   for (const char *Policy : {"baseline", "chosen"})
     for (const char *Phase : {"alone", "beside"})
       EXPECT_GT(Result->Details[Policy][Phase]["classes"]["small"]["ok"], 0);
   nlohmann::json Json = Result->json();
-  EXPECT_EQ(Json["measures"].size(), 8U);
+  EXPECT_EQ(Json["measures"].size(), 9U);
 }
 
 // Guards against a run that is reported as good although callers got results
--- a/tools/vanillayardd/main.cpp
+++ b/tools/vanillayardd/main.cpp
@@ -39,7 +39,7 @@
       Daemon::create(Loop, Options);
   if (!Host.ok())
     return fail(Host.status(), EXIT_FAILURE);
-  fmt::print("listening {} caller\nlistening {} admin\nlistening {} peer\n", (*Host)->callerAddress().str(),
+  fmt::print("listening {} admin {} peers {}\n", (*Host)->callerAddress().str(),
              (*Host)->adminAddress().str(), (*Host)->peerAddress().str());
   std::fflush(stdout);
   auto Stop = [&] { (*Host)->shutDown([&] { Loop.stop(); }); };
