Show guarantees, borrowers and fragmentation; record job events

Cause: operators could not see who borrows, whether guarantees are met, or what the planner did; the placement setting had no effect. Change: PlannerTask::report() and onEvent(), shown by the admin API and recorded in the timeline; the placement setting reaches the planner. Conclusion: status and timeline cover jobs.

--- a/libs/daemon/include/daemon/JobApi.h
+++ b/libs/daemon/include/daemon/JobApi.h
@@ -27,8 +27,7 @@
   static constexpr std::string_view PathPrefix = "/v1/jobs";
 
   /// \param Lookup asked when the store does not answer.
-  JobApi(JobService &Jobs, JobLookup &Lookup, HostId Host,
-         int64_t Incarnation);
+  JobApi(JobService &Jobs, JobLookup &Lookup, HostId Host, int64_t Incarnation);
 
   void handle(const HttpRequest &Request,
               const std::shared_ptr<HttpResponder> &Responder);
@@ -48,8 +47,7 @@
               const std::shared_ptr<HttpResponder> &Responder);
   void get(const JobId &Id, const HttpRequest &Request,
            const std::shared_ptr<HttpResponder> &Responder);
-  void cancel(const JobId &Id,
-              const std::shared_ptr<HttpResponder> &Responder);
+  void cancel(const JobId &Id, const std::shared_ptr<HttpResponder> &Responder);
   void lookUp(const JobId &Id, const absl::Status &Failure,
               const std::shared_ptr<HttpResponder> &Responder);
   std::string randomKey();
--- a/libs/daemon/include/daemon/PeerForwarder.h
+++ b/libs/daemon/include/daemon/PeerForwarder.h
@@ -26,9 +26,7 @@
   /// Reads the loads anew from the membership. To be called regularly.
   void refreshLoads();
 
-  std::span<const DataCentreLoad> loads() const override {
-    return this->Loads;
-  }
+  std::span<const DataCentreLoad> loads() const override { return this->Loads; }
   void forward(const DataCentreId &Target, const SubmittedRequest &Request,
                AnswerCallback Done) override;
 
--- a/libs/daemon/src/AdminApi.cpp
+++ b/libs/daemon/src/AdminApi.cpp
@@ -60,9 +60,9 @@
                                            "text/plain; version=0.0.4"));
   }
   if (Path == "/healthz")
-    return Responder->respond(
-        {this->Host.isReady() ? 200 : 503, {}, this->Host.isReady() ? "ready\n"
-                                                                    : "no\n"});
+    return Responder->respond({this->Host.isReady() ? 200 : 503,
+                               {},
+                               this->Host.isReady() ? "ready\n" : "no\n"});
   if (Path == "/v1/admin/status")
     return Responder->respond(jsonResponse(this->status()));
   if (Path == "/v1/admin/warnings")
@@ -72,9 +72,8 @@
   if (Path == "/v1/admin/timeline") {
     uint64_t Since = 0;
     (void)absl::SimpleAtoi(Request.queryValue("since"), &Since);
-    return Responder->respond(
-        textResponse(this->Host.Events.jsonLinesSince(Since),
-                     "application/x-ndjson"));
+    return Responder->respond(textResponse(
+        this->Host.Events.jsonLinesSince(Since), "application/x-ndjson"));
   }
   if (Path.starts_with("/v1/admin/jobs/")) {
     HttpRequest Forwarded = Request;
@@ -125,16 +124,15 @@
     return;
   }
   if (!IsWorker)
-    return Responder->respond(problemResponse(
-        makeError(ErrorKind::InvalidRequest,
-                  "expected {\"host\":true} or {\"worker\":ID,"
-                  "\"draining\":true|false}")));
+    return Responder->respond(problemResponse(makeError(
+        ErrorKind::InvalidRequest, "expected {\"host\":true} or {\"worker\":ID,"
+                                   "\"draining\":true|false}")));
   WorkerId Worker(Body["worker"].get<std::string>());
   if (!this->Host.Monitor->setDraining(Worker, Body["draining"].get<bool>()))
     return Responder->respond(problemResponse(
         makeError(ErrorKind::NotFound, "no such worker in this data centre")));
-  Responder->respond(jsonResponse({{"worker", Worker.str()},
-                                   {"draining", Body["draining"]}}));
+  Responder->respond(
+      jsonResponse({{"worker", Worker.str()}, {"draining", Body["draining"]}}));
 }
 
 Json AdminApi::peers() const {
@@ -151,16 +149,16 @@
 Json AdminApi::workers() const {
   Json Result = Json::array();
   for (const WorkerView &View : this->Host.Monitor->allViews())
-    Result.push_back({{"worker", View.Worker.str()},
-                      {"rack", View.Rack.str()},
-                      {"address", View.Address.str()},
-                      {"slots", View.TotalSlots},
-                      {"free_slots", View.FreeSlots},
-                      {"accelerators", View.Accelerators},
-                      {"draining", View.Draining},
-                      {"ejected", View.Ejected},
-                      {"polled_here",
-                       this->Host.Peers->ownsWorker(View.Worker)}});
+    Result.push_back(
+        {{"worker", View.Worker.str()},
+         {"rack", View.Rack.str()},
+         {"address", View.Address.str()},
+         {"slots", View.TotalSlots},
+         {"free_slots", View.FreeSlots},
+         {"accelerators", View.Accelerators},
+         {"draining", View.Draining},
+         {"ejected", View.Ejected},
+         {"polled_here", this->Host.Peers->ownsWorker(View.Worker)}});
   return Result;
 }
 
@@ -191,6 +189,37 @@
   return Result;
 }
 
+Json AdminApi::guarantees() const {
+  Json Result = Json::array();
+  for (const PlannerReport::Guarantee &Item :
+       this->Host.Planner->report().Guarantees)
+    Result.push_back({{"account", Item.Account.str()},
+                      {"accelerators_per_cell", Item.AcceleratorsPerCell},
+                      {"workers", Item.Workers},
+                      {"count", Item.Count},
+                      {"in_use", Item.InUse}});
+  return Result;
+}
+
+Json AdminApi::holdings() const {
+  Json Result = Json::array();
+  for (const PlannerReport::Holding &Item :
+       this->Host.Planner->report().Holdings)
+    Result.push_back({{"account", Item.Account.str()},
+                      {"accelerators", Item.Accelerators},
+                      {"borrowed", Item.Borrowed}});
+  return Result;
+}
+
+Json AdminApi::accelerators() const {
+  PlannerReport Report = this->Host.Planner->report();
+  return {{"total", Report.Accelerators},
+          {"free", Report.FreeAccelerators},
+          {"unmet_guarantees", Report.UnmetAccelerators},
+          {"largest_gang", Report.LargestGang},
+          {"largest_packed_gang", Report.LargestPackedGang}};
+}
+
 Json AdminApi::status() const {
   const Daemon::Impl &H = this->Host;
   std::string State = H.IsLeaving ? "leaving" : H.InForce ? "live" : "starting";
@@ -205,6 +234,10 @@
           {"peers", this->peers()},
           {"workers", this->workers()},
           {"queues", this->queues()},
+          {"guarantees", this->guarantees()},
+          {"holdings", this->holdings()},
+          {"accelerators", this->accelerators()},
+          {"fragmentation", H.Planner->report().Fragmentation},
           {"warnings", this->warnings()}};
 }
 
@@ -231,8 +264,8 @@
   Set("vanillayard_queue_delay_seconds", "Wait of a new short request",
       absl::ToDoubleSeconds(this->Host.Requests->queueDelay()));
   Set("vanillayard_configuration_generation", "Generation in force",
-      static_cast<double>(
-          this->Host.InForce ? this->Host.InForce->Generation : 0));
+      static_cast<double>(this->Host.InForce ? this->Host.InForce->Generation
+                                             : 0));
   Set("vanillayard_is_planner", "1 if this host is the planner",
       this->Host.Planner->isPlanner() ? 1 : 0);
   const PeerTraffic &T = this->Host.Peers->traffic();
--- a/libs/daemon/src/AdminApi.h
+++ b/libs/daemon/src/AdminApi.h
@@ -29,6 +29,9 @@
   nlohmann::json workers() const;
   nlohmann::json queues() const;
   nlohmann::json warnings() const;
+  nlohmann::json guarantees() const;
+  nlohmann::json holdings() const;
+  nlohmann::json accelerators() const;
   void refreshMetrics();
 
   Daemon::Impl &Host;
--- a/libs/daemon/src/Daemon.cpp
+++ b/libs/daemon/src/Daemon.cpp
@@ -37,13 +37,11 @@
 }
 
 Daemon::Impl::Impl(LoopExecutor &Loop, const Settings &Options)
-    : Loop(Loop), Options(Options),
-      Incarnation(absl::ToUnixMicros(Loop.now())), Output(Loop), Clock(Loop),
-      Events(Options.Host, this->Clock),
+    : Loop(Loop), Options(Options), Incarnation(absl::ToUnixMicros(Loop.now())),
+      Output(Loop), Clock(Loop), Events(Options.Host, this->Clock),
       Warnings(Loop,
                [this](const Warning &Given) {
-                 const WarningRule &Rule =
-                     warningRuleFor(Given.Key.Condition);
+                 const WarningRule &Rule = warningRuleFor(Given.Key.Condition);
                  this->Output.warning("warnings", Rule.Name,
                                       {{"subject", Given.Key.Subject},
                                        {"detail", Given.Detail},
@@ -54,7 +52,9 @@
       Directory(this->Http, Options.PlatformHostList, Options.PlatformTimeout),
       Workers(this->Http, Loop) {}
 
-Daemon::Impl::~Impl() { this->Loop.cancel(this->TickTimer); }
+Daemon::Impl::~Impl() {
+  this->Loop.cancel(this->TickTimer);
+}
 
 absl::Status Daemon::Impl::build() {
   this->Output.setMinimum(this->Options.MinimumLogLevel);
@@ -66,9 +66,9 @@
   }
   this->buildConfiguration();
   this->Router = std::make_unique<PeerRouter>(PeerRouter::Targets{
-      this->Loop, *this->Peers, *this->Requests, *this->Planner,
-      *this->Monitor, this->Warnings, *this->Config,
-      this->Options.DataCentre, [this](bool IsPlanner) { this->plannerRoleChanged(IsPlanner); }});
+      this->Loop, *this->Peers, *this->Requests, *this->Planner, *this->Monitor,
+      this->Warnings, *this->Config, this->Options.DataCentre,
+      [this](bool IsPlanner) { this->plannerRoleChanged(IsPlanner); }});
   absl::Status Status = this->buildServers();
   if (!Status.ok())
     return Status;
@@ -107,8 +107,8 @@
   if (!Members.ok())
     return Members.status();
   this->Peers = *std::move(Members);
-  this->Forwarder = std::make_unique<PeerForwarder>(
-      this->Loop, *this->Peers, this->Options.DataCentre);
+  this->Forwarder = std::make_unique<PeerForwarder>(this->Loop, *this->Peers,
+                                                    this->Options.DataCentre);
   return absl::OkStatus();
 }
 
@@ -139,11 +139,16 @@
 }
 
 absl::Status Daemon::Impl::buildJobs() {
-  auto Built = PlannerTask::Builder(this->Loop, this->Service, this->Workers)
-                   .host(this->Options.Host)
-                   .dataCentre(this->Options.DataCentre)
-                   .leaseTtl(this->Options.LeaseTtl)
-                   .build();
+  auto Built =
+      PlannerTask::Builder(this->Loop, this->Service, this->Workers)
+          .host(this->Options.Host)
+          .dataCentre(this->Options.DataCentre)
+          .leaseTtl(this->Options.LeaseTtl)
+          .placement(this->Options.Placement)
+          .onEvent([this](std::string_view Name, const JobRecord &Job) {
+            this->jobEvent(Name, Job);
+          })
+          .build();
   if (!Built.ok())
     return Built.status();
   this->Planner = *std::move(Built);
@@ -158,24 +163,23 @@
 }
 
 absl::Status Daemon::Impl::buildWorkers() {
-  auto Built =
-      WorkerMonitor::Builder(this->Loop, this->Workers)
-          .dataCentre(this->Options.DataCentre)
-          .minInterval(this->Options.PollInterval)
-          .bytesPerSecond(this->Options.ControlBytesPerSecond)
-          .owns([this](const WorkerId &Id) {
-            return this->Peers->ownsWorker(Id);
-          })
-          .onChange([this](const WorkerView &View) {
-            this->workerChanged(View);
-          })
-          .onRemove([this](const WorkerId &Id) {
-            this->Requests->removeWorker(Id);
-            this->Peers->withdrawWorker(Id);
-            this->Published.erase(Id);
-            this->PlannerWorkersChanged = true;
-          })
-          .build();
+  auto Built = WorkerMonitor::Builder(this->Loop, this->Workers)
+                   .dataCentre(this->Options.DataCentre)
+                   .minInterval(this->Options.PollInterval)
+                   .bytesPerSecond(this->Options.ControlBytesPerSecond)
+                   .owns([this](const WorkerId &Id) {
+                     return this->Peers->ownsWorker(Id);
+                   })
+                   .onChange([this](const WorkerView &View) {
+                     this->workerChanged(View);
+                   })
+                   .onRemove([this](const WorkerId &Id) {
+                     this->Requests->removeWorker(Id);
+                     this->Peers->withdrawWorker(Id);
+                     this->Published.erase(Id);
+                     this->PlannerWorkersChanged = true;
+                   })
+                   .build();
   if (!Built.ok())
     return Built.status();
   this->Monitor = *std::move(Built);
@@ -221,9 +225,9 @@
     const HttpRequest &Request,
     const std::shared_ptr<HttpResponder> &Responder) {
   if (Request.Path == "/healthz")
-    return Responder->respond(
-        {this->isReady() ? 200 : 503, {}, this->isReady() ? "ready\n"
-                                                          : "not ready\n"});
+    return Responder->respond({this->isReady() ? 200 : 503,
+                               {},
+                               this->isReady() ? "ready\n" : "not ready\n"});
   if (Request.Path == "/v1/requests" && Request.Method == "POST")
     return this->RequestHandler->handle(Request, Responder);
   this->JobHandler->handle(Request, Responder);
--- a/libs/daemon/src/DaemonImpl.h
+++ b/libs/daemon/src/DaemonImpl.h
@@ -52,6 +52,7 @@
   void configurationChanged();
   void workerChanged(const WorkerView &View);
   void plannerRoleChanged(bool IsPlanner);
+  void jobEvent(std::string_view Name, const JobRecord &Job);
   void handleCaller(const HttpRequest &Request,
                     const std::shared_ptr<HttpResponder> &Responder);
   /// Regular work: load report, worker ownership, warnings, planner's list.
--- a/libs/daemon/src/DaemonWork.cpp
+++ b/libs/daemon/src/DaemonWork.cpp
@@ -56,7 +56,8 @@
 }
 
 void Daemon::Impl::plannerRoleChanged(bool IsPlanner) {
-  this->Events.record(IsPlanner ? "planner role taken" : "planner role given up",
+  this->Events.record(IsPlanner ? "planner role taken"
+                                : "planner role given up",
                       "membership", this->Options.DataCentre.str());
   this->Output.info("membership", "planner role changed",
                     {{"is_planner", IsPlanner}});
@@ -64,6 +65,15 @@
   this->Planner->setPlanner(IsPlanner && !this->IsLeaving);
 }
 
+void Daemon::Impl::jobEvent(std::string_view Name, const JobRecord &Job) {
+  this->Events.record(
+      std::string(Name), "jobs", Job.Id.str(), TimelinePhase::Instant,
+      {{"account", Job.Spec.Account.str()},
+       {"accelerators", std::to_string(Job.Spec.Shape.accelerators())}});
+  this->Output.info("jobs", Name,
+                    {{"job", Job.Id}, {"account", Job.Spec.Account}});
+}
+
 void Daemon::Impl::updatePlannerWorkers() {
   std::vector<PlannerWorker> List;
   for (const WorkerView &View : this->Monitor->allViews()) {
@@ -100,8 +110,7 @@
   this->Output.flushSuppressed();
   if (this->IsLeaving)
     this->finishShutdown();
-  this->TickTimer =
-      this->Loop.runAfter(TickInterval, [this] { this->tick(); });
+  this->TickTimer = this->Loop.runAfter(TickInterval, [this] { this->tick(); });
 }
 
 void Daemon::Impl::fetchHostList() {
@@ -186,9 +195,9 @@
     return;
   if (!this->ShutdownDone)
     return;
-  this->Output.info("daemon", "graceful shutdown ends",
-                    {{"idle", IsIdle},
-                     {"requests_left", this->Requests->liveCount()}});
+  this->Output.info(
+      "daemon", "graceful shutdown ends",
+      {{"idle", IsIdle}, {"requests_left", this->Requests->liveCount()}});
   std::function<void()> Done = std::move(this->ShutdownDone);
   this->ShutdownDone = nullptr;
   Done();
--- a/libs/daemon/src/JobApi.cpp
+++ b/libs/daemon/src/JobApi.cpp
@@ -45,8 +45,7 @@
     return Value;
   }
 
-  int64_t number(const char *Name, int64_t Default, int64_t Low,
-                 int64_t High) {
+  int64_t number(const char *Name, int64_t Default, int64_t Low, int64_t High) {
     auto Found = this->find(Name, /*IsRequired=*/false);
     if (Found == this->Object.end())
       return Default;
@@ -54,8 +53,8 @@
       return this->fail(Name, "must be a whole number"), Default;
     int64_t Value = Found->get<int64_t>();
     if (Value < Low || Value > High)
-      this->fail(Name, fmt::format("is {}, it must be {} to {}", Value, Low,
-                                   High));
+      this->fail(Name,
+                 fmt::format("is {}, it must be {} to {}", Value, Low, High));
     return Value;
   }
 
@@ -228,17 +227,17 @@
   absl::StatusOr<JobSpec> Spec = parse(Request.Body);
   std::string Key(Request.Headers.get("Idempotency-Key"));
   if (Spec.ok() && Key.size() > MaxNameBytes)
-    Spec = invalid(fmt::format("Idempotency-Key is longer than {} bytes",
-                               MaxNameBytes));
+    Spec = invalid(
+        fmt::format("Idempotency-Key is longer than {} bytes", MaxNameBytes));
   if (!Spec.ok()) {
     Responder->respond(problemResponse(Spec.status()));
     return;
   }
   this->Jobs.submit(*Spec, Key.empty() ? this->randomKey() : Key,
                     [Responder](absl::StatusOr<StoredJob> Job) {
-                      Responder->respond(
-                          Job.ok() ? jobResponse(202, Job->Record)
-                                   : problemResponse(Job.status()));
+                      Responder->respond(Job.ok()
+                                             ? jobResponse(202, Job->Record)
+                                             : problemResponse(Job.status()));
                     });
 }
 
@@ -270,11 +269,10 @@
     Responder->respond(problemResponse(Failure));
     return;
   }
-  this->Lookup.find(
-      Id, [Responder, Failure](absl::StatusOr<JobRecord> Record) {
-        Responder->respond(Record.ok() ? jobResponse(200, *Record)
-                                       : problemResponse(Failure));
-      });
+  this->Lookup.find(Id, [Responder, Failure](absl::StatusOr<JobRecord> Record) {
+    Responder->respond(Record.ok() ? jobResponse(200, *Record)
+                                   : problemResponse(Failure));
+  });
 }
 
 void JobApi::cancel(const JobId &Id,
@@ -293,12 +291,11 @@
     std::shared_ptr<HttpResponder> Responder = WeakResponder.lock();
     if (!Responder)
       continue;
-    this->Jobs.get(Id, absl::ZeroDuration(),
-                   [Responder](absl::StatusOr<StoredJob> Job) {
-                     Responder->respond(Job.ok()
-                                            ? jobResponse(200, Job->Record)
-                                            : problemResponse(Job.status()));
-                   });
+    this->Jobs.get(
+        Id, absl::ZeroDuration(), [Responder](absl::StatusOr<StoredJob> Job) {
+          Responder->respond(Job.ok() ? jobResponse(200, Job->Record)
+                                      : problemResponse(Job.status()));
+        });
   }
 }
 
--- a/libs/daemon/src/PeerJobLink.cpp
+++ b/libs/daemon/src/PeerJobLink.cpp
@@ -43,9 +43,8 @@
 
 void PeerJobLink::find(const JobId &Id, Callback Done) {
   if (const JobRecord *Known = this->Planner.find(Id)) {
-    this->Exec.post([Done = std::move(Done), Record = *Known] {
-      Done(Record);
-    });
+    this->Exec.post(
+        [Done = std::move(Done), Record = *Known] { Done(Record); });
     return;
   }
   auto State = std::make_shared<Query>();
--- a/libs/daemon/src/PeerRouter.cpp
+++ b/libs/daemon/src/PeerRouter.cpp
@@ -18,7 +18,9 @@
   this->To.Peers.addListener(this);
 }
 
-PeerRouter::~PeerRouter() { this->To.Peers.removeListener(this); }
+PeerRouter::~PeerRouter() {
+  this->To.Peers.removeListener(this);
+}
 
 void PeerRouter::hostChanged(const PeerHost &Host) {
   bool IsLost = this->To.Peers.liveHosts(Host.DataCentre).empty();
@@ -69,8 +71,8 @@
     return this->queried(Message, *Query);
   if (std::get_if<ConfigRequest>(&Message.Message)) {
     (void)this->To.Peers.reply(
-        Message, ConfigReply{this->To.Config.generation(),
-                             this->To.Config.document()});
+        Message,
+        ConfigReply{this->To.Config.generation(), this->To.Config.document()});
     return;
   }
   JobChange Change;
@@ -78,8 +80,7 @@
   if (const auto *Notice = std::get_if<JobNotice>(&Message.Message)) {
     Change.Job = Notice->Job;
     this->To.Planner.onJobChange(Change);
-  } else if (const auto *Cancel =
-                 std::get_if<CancelNotice>(&Message.Message)) {
+  } else if (const auto *Cancel = std::get_if<CancelNotice>(&Message.Message)) {
     Change.Job = Cancel->Job;
     Change.State = JobState::Cancelled;
     Change.CancelRequested = true;
--- a/libs/daemon/src/RequestApi.cpp
+++ b/libs/daemon/src/RequestApi.cpp
@@ -25,9 +25,8 @@
   return makeError(ErrorKind::InvalidRequest, Detail);
 }
 
-static absl::StatusOr<std::string> readName(const HttpRequest &Request,
-                                            const char *Header,
-                                            bool IsRequired) {
+static absl::StatusOr<std::string>
+readName(const HttpRequest &Request, const char *Header, bool IsRequired) {
   std::string Value(Request.Headers.get(Header));
   if (Value.empty() && IsRequired)
     return invalid(fmt::format("the header {} is missing", Header));
@@ -63,8 +62,8 @@
   if (!Text.empty()) {
     int64_t Ms = 0;
     if (!absl::SimpleAtoi(Text, &Ms) || Ms < 1 || Ms > MaxDeadlineMs)
-      return invalid(fmt::format("{} must be 1 to {} ms", DeadlineHeader,
-                                 MaxDeadlineMs));
+      return invalid(
+          fmt::format("{} must be 1 to {} ms", DeadlineHeader, MaxDeadlineMs));
     Left = absl::Milliseconds(Ms);
   }
   Result.Deadline = this->Exec.now() + Left;
@@ -88,8 +87,7 @@
   return absl::OkStatus();
 }
 
-absl::StatusOr<SubmittedRequest>
-RequestApi::parse(const HttpRequest &Request) {
+absl::StatusOr<SubmittedRequest> RequestApi::parse(const HttpRequest &Request) {
   if (!this->Config)
     return makeError(ErrorKind::NotReady, "no configuration is in force yet");
   auto Account = readName(Request, AccountHeader, /*IsRequired=*/true);
@@ -129,22 +127,21 @@
     return;
   }
   RequestId Id = Parsed->Id;
-  Responder->onClose([this, Id] {
-    this->Requests.cancel(Id, CancelReason::Disconnected);
-  });
-  this->Requests.submit(
-      std::move(*Parsed),
-      [Responder, Id](absl::StatusOr<RequestAnswer> Answer) {
-        HttpResponse Response;
-        if (Answer.ok()) {
-          Response.Body = std::move(Answer->Body);
-          Response.Headers.add("Content-Type", "application/octet-stream");
-        } else {
-          Response = problemResponse(Answer.status());
-        }
-        Response.Headers.add(RequestIdHeader, Id.str());
-        Responder->respond(std::move(Response));
-      });
+  Responder->onClose(
+      [this, Id] { this->Requests.cancel(Id, CancelReason::Disconnected); });
+  this->Requests.submit(std::move(*Parsed),
+                        [Responder, Id](absl::StatusOr<RequestAnswer> Answer) {
+                          HttpResponse Response;
+                          if (Answer.ok()) {
+                            Response.Body = std::move(Answer->Body);
+                            Response.Headers.add("Content-Type",
+                                                 "application/octet-stream");
+                          } else {
+                            Response = problemResponse(Answer.status());
+                          }
+                          Response.Headers.add(RequestIdHeader, Id.str());
+                          Responder->respond(std::move(Response));
+                        });
 }
 
 } // namespace vanillayard
--- a/libs/jobs/include/jobs/PlannerTask.h
+++ b/libs/jobs/include/jobs/PlannerTask.h
@@ -3,14 +3,18 @@
 
 #include "base/Executor.h"
 #include "config/Configuration.h"
+#include "config/PolicyChoices.h"
 #include "endpoint/WorkerClient.h"
 #include "jobs/JobNotifier.h"
 #include "jobs/JobRecord.h"
+#include "jobs/PlannerReport.h"
 #include "jobs/PlannerWorker.h"
 
 #include "absl/status/statusor.h"
 
+#include <functional>
 #include <memory>
+#include <string_view>
 #include <vector>
 
 namespace vanillayard {
@@ -32,6 +36,10 @@
 /// \endcode
 class PlannerTask {
 public:
+  /// \param Name what happened, such as "gang running".
+  using EventListener =
+      std::function<void(std::string_view Name, const JobRecord &Job)>;
+
   class Builder {
   public:
     Builder(Executor &Exec, Store &Service, WorkerClient &Workers)
@@ -56,6 +64,10 @@
     Builder &maxFailures(int Value);
     /// How long records of ended jobs are kept. Default 24 h.
     Builder &retention(absl::Duration Value);
+    /// How gangs are placed. Default: cells.
+    Builder &placement(PlacementChoice Value);
+    /// Told of each step of a job, for the timeline. Default: none.
+    Builder &onEvent(EventListener Value);
     /// Seed of random backoffs. Default: from the host.
     Builder &seed(uint64_t Value);
     /// Error: InvalidArgument for a missing name or a time that is not
@@ -76,6 +88,8 @@
     absl::Duration Retention = absl::Hours(24);
     int MaxFailures = 3;
     uint64_t Seed = 0;
+    PlacementChoice Placement = PlacementChoice::Cells;
+    EventListener Listener;
   };
 
   struct Counts {
@@ -105,6 +119,9 @@
   /// if it is not known here.
   const JobRecord *find(const JobId &Id) const;
   Counts counts() const;
+  /// Guarantees, who borrows, and fragmentation. Takes time in proportion to
+  /// the number of workers.
+  PlannerReport report() const;
 
 private:
   class Impl;
--- a/libs/jobs/src/Fleet.cpp
+++ b/libs/jobs/src/Fleet.cpp
@@ -1,5 +1,9 @@
 #include "Fleet.h"
 
+#include "placement/CellTable.h"
+#include "placement/FirstFit.h"
+#include "placement/Fragmentation.h"
+
 #include <bit>
 
 namespace vanillayard {
@@ -15,7 +19,7 @@
     Needs = GuaranteeLedger::needsOf(this->Config->Accounts, this->DataCentre);
   this->Ledger = std::make_unique<GuaranteeLedger>(*this->Topo, Needs);
   this->Planner =
-      std::make_unique<AdmissionPlanner>(*this->Ledger, this->Policy);
+      std::make_unique<AdmissionPlanner>(*this->Ledger, *this->Policy);
   this->applyAvailability();
 }
 
@@ -159,4 +163,67 @@
   return Sum;
 }
 
+void Fleet::setPlacement(PlacementChoice Choice) {
+  if (Choice == PlacementChoice::FirstFit)
+    this->Policy = std::make_unique<FirstFit>();
+  else
+    this->Policy = std::make_unique<CellPlacement>();
+  this->rebuild();
+}
+
+int Fleet::heldInOwnCells(int Account) const {
+  int Sum = 0;
+  for (const BoundCell &Cell : this->Ledger->cells()) {
+    if (Cell.Users == 0 || Cell.Need < 0 ||
+        this->Ledger->needs()[static_cast<size_t>(Cell.Need)].Account !=
+            Account)
+      continue;
+    for (const MemberPlace &Place : Cell.Area)
+      for (int A = 0; A < MaxAcceleratorsPerWorker; ++A) {
+        int Index = this->Held->holderAt(Place.Worker, A);
+        if ((Place.Mask >> A & 1) && Index >= 0 &&
+            this->Held->holder(Index).Account == Account)
+          ++Sum;
+      }
+  }
+  return Sum;
+}
+
+void Fleet::reportGuarantees(PlannerReport &Report) const {
+  for (const GuaranteedNeed &Need : this->Ledger->needs())
+    Report.Guarantees.push_back(
+        {this->Config->Accounts[static_cast<size_t>(Need.Account)].Name,
+         1 << Need.Level, Need.Workers, Need.Count, Need.Bound});
+}
+
+void Fleet::reportHoldings(PlannerReport &Report) const {
+  for (size_t I = 0; I < this->Config->Accounts.size(); ++I) {
+    int Account = static_cast<int>(I);
+    int Total = this->heldBy(Account);
+    if (Total > 0)
+      Report.Holdings.push_back({this->Config->Accounts[I].Name, Total,
+                                 Total - this->heldInOwnCells(Account)});
+  }
+}
+
+PlannerReport Fleet::report() const {
+  PlannerReport Report;
+  for (int W = 0; W < this->Topo->workerCount(); ++W) {
+    Report.Accelerators += std::popcount(this->Held->usableMask(W));
+    Report.FreeAccelerators += std::popcount(this->Held->freeMask(W));
+  }
+  Report.UnmetAccelerators = this->Ledger->deficit(*this->Held);
+  Report.LargestGang = largestStartableGang(
+      *this->Held, MaxAcceleratorsPerWorker, Adjacency::Rack);
+  Report.LargestPackedGang =
+      largestPackedGang(*this->Held, MaxAcceleratorsPerWorker, Adjacency::Rack);
+  Report.Fragmentation =
+      fragmentation(*this->Held, MaxAcceleratorsPerWorker, Adjacency::Rack);
+  if (this->Config) {
+    this->reportGuarantees(Report);
+    this->reportHoldings(Report);
+  }
+  return Report;
+}
+
 } // namespace vanillayard
--- a/libs/jobs/src/Fleet.h
+++ b/libs/jobs/src/Fleet.h
@@ -12,6 +12,9 @@
 #include <memory>
 #include <vector>
 
+#include "config/PolicyChoices.h"
+#include "jobs/PlannerReport.h"
+
 namespace vanillayard {
 
 /// The workers of the data centre with what the jobs hold on them and what is
@@ -57,6 +60,9 @@
   void release(PlannedJob &Job);
   /// Accelerators that an account's jobs hold.
   int heldBy(int Account) const;
+  /// Chooses the placement policy; all jobs must be held again.
+  void setPlacement(PlacementChoice Choice);
+  PlannerReport report() const;
 
 private:
   struct Entry {
@@ -66,6 +72,9 @@
 
   void rebuild();
   void applyAvailability();
+  void reportGuarantees(PlannerReport &Report) const;
+  void reportHoldings(PlannerReport &Report) const;
+  int heldInOwnCells(int Account) const;
 
   absl::flat_hash_map<WorkerId, Entry> Workers;
   std::shared_ptr<const Configuration> Config;
@@ -73,7 +82,7 @@
   std::unique_ptr<Topology> Topo;
   std::unique_ptr<Occupancy> Held;
   std::unique_ptr<GuaranteeLedger> Ledger;
-  CellPlacement Policy;
+  std::unique_ptr<PlacementPolicy> Policy = std::make_unique<CellPlacement>();
   std::unique_ptr<AdmissionPlanner> Planner;
 };
 
--- a/libs/jobs/src/PlannerBuilder.cpp
+++ b/libs/jobs/src/PlannerBuilder.cpp
@@ -45,6 +45,16 @@
   return *this;
 }
 
+Builder &Builder::placement(PlacementChoice Value) {
+  this->Placement = Value;
+  return *this;
+}
+
+Builder &Builder::onEvent(EventListener Value) {
+  this->Listener = std::move(Value);
+  return *this;
+}
+
 Builder &Builder::seed(uint64_t Value) {
   this->Seed = Value;
   return *this;
@@ -100,6 +110,10 @@
   return Found == this->State->Jobs.end() ? nullptr : &Found->second->Record;
 }
 
+PlannerReport PlannerTask::report() const {
+  return this->State->report();
+}
+
 PlannerTask::Counts PlannerTask::counts() const {
   Counts Result;
   for (const auto &[Id, Job] : this->State->Jobs)
--- a/libs/jobs/src/PlannerGang.cpp
+++ b/libs/jobs/src/PlannerGang.cpp
@@ -108,6 +108,7 @@
 // gang could start alone.
 void PlannerTask::Impl::startMembers(PlannedJob &Job) {
   this->enter(Job, JobPhase::Running);
+  this->tell("start", Job);
   Job.StartedAt = this->now();
   bool TooOld = this->now() - Job.oldestRenewal() > this->renewTtl() / 2;
   if (TooOld || Job.CancelWanted)
--- a/libs/jobs/src/PlannerImpl.h
+++ b/libs/jobs/src/PlannerImpl.h
@@ -33,6 +33,8 @@
   void setDataCentreLost(const DataCentreId &Dc, bool Lost);
   void onJobChange(const JobChange &Notice);
 
+  PlannerReport report() const;
+
   bool Active = false;
   /// Jobs that have not ended, by id.
   std::map<JobId, std::unique_ptr<PlannedJob>> Jobs;
@@ -60,6 +62,8 @@
   void noteStore(bool Answers);
   void holdAllAgain();
 
+  void tell(std::string_view Name, const PlannedJob &Job);
+
   // Schedule.
   void markDirty();
   void schedule();
--- a/libs/jobs/src/PlannerOutcome.cpp
+++ b/libs/jobs/src/PlannerOutcome.cpp
@@ -9,6 +9,7 @@
 // Stops all members at once and finds out what became of each.
 void PlannerTask::Impl::beginStop(PlannedJob &Job) {
   this->enter(Job, JobPhase::Stopping);
+  this->tell("stop", Job);
   Job.StopSince = this->now();
   auto Check = [this](PlannedJob &Found, int) { this->checkStop(Found); };
   // Posted, because the check may destroy the stopper that calls.
@@ -152,6 +153,7 @@
   Job.Record.State = State;
   Job.Record.Detail = std::move(Detail);
   Job.Record.MayHaveRun = MayHaveRun;
+  this->tell(JobStateNames.nameOf(State), Job);
   this->markDirty();
   this->writeOutcome(Job);
 }
--- a/libs/jobs/src/PlannerReclaim.cpp
+++ b/libs/jobs/src/PlannerReclaim.cpp
@@ -26,6 +26,7 @@
   if (Victim.Reclaimed)
     return;
   Victim.Reclaimed = true;
+  this->tell("reclaim", Victim);
   const Configuration *Config = this->Workers.configuration();
   absl::Duration Grace =
       Config ? Config->Bounds.ReclaimGrace : absl::ZeroDuration();
--- a/libs/jobs/src/PlannerTask.cpp
+++ b/libs/jobs/src/PlannerTask.cpp
@@ -7,10 +7,21 @@
 namespace vanillayard {
 
 PlannerTask::Impl::Impl(const Builder &Options)
-    : Options(Options), Records(*Options.Service), Random(Options.Seed) {}
+    : Options(Options), Records(*Options.Service), Random(Options.Seed) {
+  this->Workers.setPlacement(Options.Placement);
+}
 
 PlannerTask::Impl::~Impl() = default;
 
+PlannerReport PlannerTask::Impl::report() const {
+  return this->Active ? this->Workers.report() : PlannerReport();
+}
+
+void PlannerTask::Impl::tell(std::string_view Name, const PlannedJob &Job) {
+  if (this->Options.Listener)
+    this->Options.Listener(Name, Job.Record);
+}
+
 void PlannerTask::Impl::every(absl::Duration Interval,
                               std::function<void()> Work) {
   this->Options.Exec->runAfter(
--- a/tools/vanillayard/src/CliHosts.cpp
+++ b/tools/vanillayard/src/CliHosts.cpp
@@ -42,7 +42,8 @@
                            show(Host, "preset"), show(Host, "peers"),
                            show(Host, "workers"), show(Host, "warnings")));
   for (const json &Host : All)
-    for (const char *Name : {"queues", "guarantees", "fragmentation"})
+    for (const char *Name :
+         {"queues", "accelerators", "guarantees", "holdings", "fragmentation"})
       if (Host.contains(Name))
         this->line(fmt::format("{}: {} {}", show(Host, "host"), Name,
                                Host[Name].dump()));
