Run the preset change of the demo by the command line

Cause: the command line exists, and the daemon prints one "listening" line for each listener.

Change: Cluster::command() runs the command line for all running hosts; the daemon's addresses are read by the names caller, admin and peer.

--- a/testing/include/testing/Cluster.h
+++ b/testing/include/testing/Cluster.h
@@ -94,10 +94,9 @@
   /// \p Leaving are listed as leaving.
   absl::Status publishHosts(const std::vector<WorkerId> &Leaving = {});
 
-  /// Runs a command of the operators' command line against a host. Returns
-  /// its output. Errors: Unknown if it does not exit with 0.
-  absl::StatusOr<std::string> command(size_t Host,
-                                      std::vector<std::string> Arguments);
+  /// Runs a command of the operators' command line for all running hosts.
+  /// Returns its output. Errors: Unknown if it does not exit with 0.
+  absl::StatusOr<std::string> command(std::vector<std::string> Arguments);
   /// Posts \p Faults to the stand-in of a worker.
   absl::Status setFaults(const WorkerNode &Worker, const std::string &Faults);
   /// Execution records of all workers, as JSON objects.
--- a/testing/src/Cluster.cpp
+++ b/testing/src/Cluster.cpp
@@ -131,11 +131,11 @@
   if (!Addresses.ok())
     return Addresses.status();
   for (const ListeningAddress &Line : *Addresses) {
-    if (Line.Name.empty())
+    if (Line.Name == "caller")
       Host.Caller = Line.Address;
     else if (Line.Name == "admin")
       Host.Admin = Line.Address;
-    else if (Line.Name == "peers")
+    else if (Line.Name == "peer")
       Host.Peer = Line.Address;
   }
   return this->publishHosts();
@@ -182,10 +182,11 @@
 }
 
 absl::StatusOr<std::string>
-Cluster::command(size_t Host, std::vector<std::string> Arguments) {
-  Arguments.insert(Arguments.begin(),
-                   {"--admin=" + this->Hosts[Host].Admin.str(),
-                    "--platform=" + this->Platform.str()});
+Cluster::command(std::vector<std::string> Arguments) {
+  Arguments.push_back("--platform=" + this->Platform.str());
+  for (const EntryHostNode &Host : this->Hosts)
+    if (Host.isRunning())
+      Arguments.push_back("--admin=" + Host.Admin.str());
   auto Started = Process::start(
       Process::program("vanillayard"), Arguments,
       this->Folder.file(fmt::format("command{}.log", ++this->Commands)));
--- a/testing/src/Process.cpp
+++ b/testing/src/Process.cpp
@@ -97,23 +97,16 @@
              Text);
 }
 
-/// Reads "listening ADDRESS [NAME]" or, with more than one address on the
-/// line, "listening ADDRESS NAME ADDRESS NAME ADDRESS".
-static void readAddresses(const std::string &Line,
-                          std::vector<ListeningAddress> &Addresses) {
+/// Reads "listening ADDRESS [NAME]".
+static void readAddress(const std::string &Line,
+                        std::vector<ListeningAddress> &Addresses) {
   std::istringstream Words(Line);
   std::string First;
   std::string Address;
-  if (!(Words >> First >> Address) || First != "listening")
-    return;
-  Addresses.push_back({Endpoint(Address), ""});
   std::string Name;
-  while (Words >> Name) {
-    if (Words >> Address)
-      Addresses.push_back({Endpoint(Address), Name});
-    else
-      Addresses.back().Name = Name;
-  }
+  Words >> First >> Address >> Name;
+  if (First == "listening" && !Address.empty())
+    Addresses.push_back({Endpoint(Address), Name});
 }
 
 std::vector<ListeningAddress> Process::listening() const {
@@ -124,7 +117,7 @@
     // The last line may not be complete yet.
     if (Lines.eof())
       break;
-    readAddresses(Line, Addresses);
+    readAddress(Line, Addresses);
   }
   return Addresses;
 }
--- a/tools/demo/src/Demo.cpp
+++ b/tools/demo/src/Demo.cpp
@@ -255,8 +255,8 @@
 
 void Demo::presetChange() {
   this->step("a preset change by the command line");
-  auto Output = this->Hosts.command(0, {"preset", "peak"});
-  this->check(Output.ok(), fmt::format("vanillayard preset peak: {}",
+  auto Output = this->Hosts.command({"preset", "set", "peak"});
+  this->check(Output.ok(), fmt::format("vanillayard preset set peak: {}",
                                        Output.status().ToString()));
   absl::Time Start = this->Hosts.http().loop().now();
   bool IsInForce = this->Hosts.http().runUntil(
@@ -268,8 +268,9 @@
       },
       ConfigurationLimit);
   absl::Duration Took = this->Hosts.http().loop().now() - Start;
-  this->check(IsInForce, fmt::format("in force on every host after {:.2f} s",
-                                     absl::ToDoubleSeconds(Took)));
+  this->check(IsInForce,
+              fmt::format("seen on every host {:.2f} s after its end",
+                          absl::ToDoubleSeconds(Took)));
 }
 
 void Demo::rollingRestart() {
