--- a/libs/net/src/H2oResponder.cpp
+++ b/libs/net/src/H2oResponder.cpp
@@ -63,8 +63,10 @@
         h2o_strdup(&this->Request->pool, Value.data(), Value.size());
     for (size_t I = 0; I < NameCopy.len; ++I)
       NameCopy.base[I] = static_cast<char>(h2o_tolower(NameCopy.base[I]));
+    // Without an original name the header is sent in lower case; h2o would
+    // keep a pointer to it until the headers are written.
     h2o_add_header_by_str(&this->Request->pool, &this->Request->res.headers,
-                          NameCopy.base, NameCopy.len, 1, Name.data(),
+                          NameCopy.base, NameCopy.len, 1, nullptr,
                           ValueCopy.base, ValueCopy.len);
   }
 }
--- a/standins/platform/main.cpp
+++ b/standins/platform/main.cpp
@@ -6,6 +6,7 @@
 #include "absl/flags/parse.h"
 #include "absl/flags/usage.h"
 
+#include <csignal>
 #include <fmt/format.h>
 
 #include <csignal>
@@ -19,6 +20,7 @@
 using namespace vanillayard;
 
 int main(int Argc, char **Argv) {
+  std::signal(SIGPIPE, SIG_IGN);
   absl::SetProgramUsageMessage(
       "stand-in for the platform: key-value service and host list in memory");
   absl::ParseCommandLine(Argc, Argv);
