--- a/standins/platform/main.cpp
+++ b/standins/platform/main.cpp
@@ -6,7 +6,6 @@
 #include "absl/flags/parse.h"
 #include "absl/flags/usage.h"
 
-#include <csignal>
 #include <fmt/format.h>
 
 #include <csignal>
