--- a/tools/vanillayard/src/Cli.cpp
+++ b/tools/vanillayard/src/Cli.cpp
@@ -122,8 +122,13 @@
     return fmt::format("usage: vanillayard [FLAGS] {}\n\n{}\n{}",
                        Found->usage(), Found->Help, Flags);
   std::string Text = "usage: vanillayard [FLAGS] COMMAND\n\nCommands:\n";
+  // The first word of a group, such as "job", lists that group.
+  bool IsGroupKnown = std::any_of(
+      commands().begin(), commands().end(), [&](const Command &Entry) {
+        return !Words.empty() && Words.front() == Entry.Words.front();
+      });
   for (const Command &Entry : commands()) {
-    bool IsGroup = Words.empty() || Words.front() == Entry.Words.front();
+    bool IsGroup = !IsGroupKnown || Words.front() == Entry.Words.front();
     std::string Help = Entry.Help;
     if (IsGroup)
       Text += fmt::format("  {:<26} {}\n", Entry.usage(),
--- a/tools/vanillayard/tests/CliTest.cpp
+++ b/tools/vanillayard/tests/CliTest.cpp
@@ -269,7 +269,7 @@
            {{"configuration", "check", Sample}, 0, "valid, 2 accounts"},
            {{"--frobnicate", "status"}, 2, "unknown"},
            {{"--wait=soon", "status"}, 2, "--wait"},
-           {{"nothing"}, 2, "usage"},
+           {{"nothing"}, 2, "preset set NAME"},
            {{"--admin", "127.0.0.1:1", "--admin=127.0.0.1:2", "--json",
              "status"},
             4,
