Test that every host is told of a draining worker

Cause: with the loop ended after the first host, all 8 tests of cli passed, because the first host did not know the worker.

Change: both hosts know it, and both must be called.

--- a/tools/vanillayard/tests/CliTest.cpp
+++ b/tools/vanillayard/tests/CliTest.cpp
@@ -205,8 +205,14 @@
   EXPECT_EQ(this->run({"drain", "worker", "w1"}), ExitCode::Failure);
   this->B.Answers["/v1/admin/drain"] = [] { return std::string("{}"); };
   EXPECT_EQ(this->run({"drain", "worker", "w1"}), ExitCode::Ok) << this->Err;
-  EXPECT_EQ(this->A.Calls.back(),
-            R"(POST /v1/admin/drain{"draining":true,"worker":"w1"})");
+  this->A.Answers["/v1/admin/drain"] = [] { return std::string("{}"); };
+  for (FakeHost *Host : {&this->A, &this->B})
+    Host->Calls.clear();
+  EXPECT_EQ(this->run({"drain", "worker", "w1"}), ExitCode::Ok) << this->Err;
+  for (FakeHost *Host : {&this->A, &this->B})
+    EXPECT_EQ(Host->Calls,
+              (std::vector<std::string>{
+                  R"(POST /v1/admin/drain{"draining":true,"worker":"w1"})"}));
   EXPECT_EQ(this->run({"drain", "host"}), ExitCode::Usage);
 }
 
