Share slots between entry hosts; let urgent work probe full workers

Three causes were found. Each host filled all slots at the start of a flood, because views do not tell what others sent. A refusal for lack of room lowered the concurrency limit below what ran there and shut urgent work out. Change: SlotShare bounds the slots that a host fills with work that is not urgent; refusals do not lower the limit; late requests are neither blamed on workers nor started; urgent work tries the worker with the oldest view when all look full.

--- a/libs/daemon/src/DaemonImpl.h
+++ b/libs/daemon/src/DaemonImpl.h
@@ -28,6 +28,7 @@
 #include "peer/TcpPeerTransport.h"
 #include "platform/EtcdStore.h"
 #include "platform/HttpHostDirectory.h"
+#include "policy/SlotShare.h"
 #include "requests/RequestTask.h"
 
 #include <set>
@@ -59,6 +60,7 @@
   void tick();
   void fetchHostList();
   void reportLoad();
+  void shareSlots();
   void updatePlannerWorkers();
   void checkWarnings();
   void finishShutdown();
@@ -95,6 +97,7 @@
 
   std::shared_ptr<const Configuration> InForce;
   std::set<WorkerId> Published;
+  SlotShare Share;
   bool PlannerWorkersChanged = false;
   bool IsLeaving = false;
   bool RequestsIdle = false;
--- a/libs/daemon/src/DaemonWork.cpp
+++ b/libs/daemon/src/DaemonWork.cpp
@@ -1,6 +1,7 @@
 #include "DaemonImpl.h"
 
 #include "jobs/PlannerWorker.h"
+#include "peer/PeerHost.h"
 #include "platform/HostDirectory.h"
 #include "requests/WorkerCapacity.h"
 #include "wire/LoadSummary.h"
@@ -106,6 +107,7 @@
     this->updatePlannerWorkers();
   this->Forwarder->refreshLoads();
   this->reportLoad();
+  this->shareSlots();
   this->checkWarnings();
   this->Output.flushSuppressed();
   if (this->IsLeaving)
@@ -138,6 +140,29 @@
   this->Peers->setLoad(Load);
 }
 
+void Daemon::Impl::shareSlots() {
+  SlotShare::Sample Seen;
+  for (const PeerHost &Peer : this->Peers->hosts()) {
+    if (Peer.DataCentre != this->Options.DataCentre || !Peer.isUsable())
+      continue;
+    ++Seen.Hosts;
+    Seen.HostsWithBacklog += Peer.Load.QueuedNormal > 0;
+  }
+  int Slots = 0;
+  int Free = 0;
+  for (const WorkerView &View : this->Monitor->allViews()) {
+    if (View.Draining || View.Ejected)
+      continue;
+    Slots += View.TotalSlots;
+    Free += View.FreeSlots;
+  }
+  Seen.FreeShare = Slots > 0 ? static_cast<double>(Free) / Slots : 0;
+  Seen.UrgentReserve =
+      this->InForce ? this->InForce->preset().UrgentReserve : 0;
+  Seen.IsBinding = this->Requests->isShareBinding();
+  this->Requests->setSlotShare(this->Share.update(Seen, this->Loop.now()));
+}
+
 void Daemon::Impl::checkWarnings() {
   this->Warnings.setRank(this->Peers->rank());
   auto Set = [this](WarningCondition Condition, bool Holds,
--- a/libs/requests/include/requests/RequestTask.h
+++ b/libs/requests/include/requests/RequestTask.h
@@ -62,6 +62,13 @@
   /// \param Idle called once when no request is left.
   virtual void shutdown(std::function<void()> Idle) = 0;
 
+  /// Sets the share of the data centre's slots, without the urgent reserve,
+  /// that this host fills with work that is not urgent. Default 1, for a host
+  /// that is alone.
+  virtual void setSlotShare(double Share) = 0;
+  /// True if requests wait because the share is used up.
+  virtual bool isShareBinding() const = 0;
+
   /// Time that a new request waits, for the load report to other data centres.
   virtual absl::Duration queueDelay() const = 0;
   virtual size_t queuedCount() const = 0;
--- a/libs/requests/src/RepeatableRunner.cpp
+++ b/libs/requests/src/RepeatableRunner.cpp
@@ -117,9 +117,15 @@
     Table.onRefused(Worker, Now);
   } else if (!NotRun) {
     R.Ran |= Kind == ErrorKind::TaskFailed;
-    if (Kind != ErrorKind::TaskFailed)
-      Table.onLost(Worker, Now);
-    Table.onFailure(Worker, R.FailedOn, Now);
+    // A call that the request's own deadline ended says nothing about the
+    // worker. Counted as failures, late requests of a flood ejected sound
+    // workers.
+    bool IsLate = Now >= R.Request.Deadline && Kind != ErrorKind::TaskFailed;
+    if (!IsLate) {
+      if (Kind != ErrorKind::TaskFailed)
+        Table.onLost(Worker, Now);
+      Table.onFailure(Worker, R.FailedOn, Now);
+    }
     R.FailedOn.push_back(Worker);
   }
   // A hedged attempt may still succeed.
--- a/libs/requests/src/RequestTaskImpl.cpp
+++ b/libs/requests/src/RequestTaskImpl.cpp
@@ -8,6 +8,8 @@
 
 namespace vanillayard {
 
+// Of the requests that seem too late, one of so many is run.
+static constexpr int64_t RunsOneOf = 16;
 static constexpr absl::Duration TickInterval = absl::Milliseconds(50);
 // Bounds the work between two pieces of other work on the executor.
 static constexpr int MaxExpiredInRow = 1000;
@@ -297,6 +299,15 @@
   return nullptr;
 }
 
+bool RequestTaskImpl::isTooLate(const LiveRequest &R) {
+  // Running it would only take slots from requests that can still be answered.
+  absl::Duration Needed = this->Times.earliest(R.Request.Kind);
+  if (this->Config.Exec.now() + Needed <= R.Request.Deadline)
+    return false;
+  // Some are run all the same, or shorter run times would never be noticed.
+  return ++this->TooLate % RunsOneOf != 0;
+}
+
 LivePtr RequestTaskImpl::nextRequest(bool UrgentOnly) {
   if (LivePtr R = this->nextReturned(this->ReturnedUrgent))
     return R;
@@ -309,21 +320,52 @@
     if (!Popped)
       return nullptr;
     LivePtr R = this->Live.at(Popped->Token);
-    if (!Popped->Expired)
+    if (!Popped->Expired && !this->isTooLate(*R))
       return R;
     this->finish(*R, makeError(ErrorKind::DeadlineExpired,
-                               "the deadline passed in the queue"));
+                               "the time left does not suffice to run"));
   }
   this->scheduleDispatch();
   return nullptr;
 }
 
+bool RequestTaskImpl::isUrgentOnly() const {
+  // The baseline has neither a reserve nor a share.
+  return this->UrgentReserve > 0 &&
+         this->Table.isReserveLeft(this->UrgentReserve, this->HostShare);
+}
+
+bool RequestTaskImpl::isUrgentWaiting() const {
+  if (this->UrgentReserve <= 0)
+    return false;
+  if (!this->ReturnedUrgent.empty())
+    return true;
+  for (const auto &[Id, Kind] : this->Settings.Kinds)
+    if (Kind.Urgent && this->Queue->size(Id) > 0)
+      return true;
+  return false;
+}
+
+void RequestTaskImpl::setSlotShare(double Share) {
+  this->HostShare = Share;
+  this->scheduleDispatch();
+}
+
+bool RequestTaskImpl::isShareBinding() const {
+  return this->queuedCount() > 0 &&
+         this->Table.isShareUsed(this->UrgentReserve, this->HostShare);
+}
+
 void RequestTaskImpl::dispatch() {
   for (int I = 0; I < MaxDispatchesInRow; ++I) {
-    if (this->Table.room() <= 0)
-      return;
-    LivePtr R =
-        this->nextRequest(this->Table.isReserveLeft(this->UrgentReserve));
+    bool UrgentOnly = this->isUrgentOnly();
+    if (this->Table.room() <= 0) {
+      if (!this->isUrgentWaiting() ||
+          !this->Table.openOldestView(this->Config.Exec.now()))
+        return;
+      UrgentOnly = true;
+    }
+    LivePtr R = this->nextRequest(UrgentOnly);
     if (!R)
       return;
     bool Urgent = this->isUrgent(R->Request.Kind);
--- a/libs/requests/src/RequestTaskImpl.h
+++ b/libs/requests/src/RequestTaskImpl.h
@@ -37,6 +37,8 @@
   WorkerTable &table() override { return this->Table; }
   const HostId &hostId() const override { return this->Config.Host; }
   void finish(LiveRequest &R, absl::StatusOr<RequestAnswer> Result) override;
+  void setSlotShare(double Share) override;
+  bool isShareBinding() const override;
   void endStep(LiveRequest &R) override;
   void requeue(LiveRequest &R) override;
   bool retry(LiveRequest &R, bool NotRun) override;
@@ -61,18 +63,23 @@
   /// Runs dispatch() once after the current piece of work.
   void scheduleDispatch();
   void dispatch();
+  bool isTooLate(const LiveRequest &R);
   LivePtr nextRequest(bool UrgentOnly);
   LivePtr nextReturned(std::deque<uint64_t> &From);
   void startOn(const LivePtr &R, const WorkerTable::Reservation &Place);
   void scheduleTick(absl::Duration Delay);
   void tick();
   bool isUrgent(const KindId &Kind) const;
+  bool isUrgentOnly() const;
+  bool isUrgentWaiting() const;
   void checkIdle();
 
   RequestTask::Builder Config;
   bool Configured = false;
   QueueSettings Settings;
   double UrgentReserve = 0;
+  double HostShare = 1;
+  int64_t TooLate = 0;
   bool SpillOver = true;
   std::unique_ptr<AdmissionQueue> Queue;
   std::unique_ptr<RetryPolicy> Retry;
--- a/libs/requests/src/RunTimes.h
+++ b/libs/requests/src/RunTimes.h
@@ -31,6 +31,15 @@
                : std::max(MinSeconds, Found->second.Mean);
   }
 
+  /// Time before which an answer is unlikely; zero while too few are known.
+  absl::Duration earliest(const KindId &Kind) const {
+    auto Found = this->Kinds.find(Kind);
+    if (Found == this->Kinds.end() || Found->second.Samples < MinSamples)
+      return absl::ZeroDuration();
+    const Stats &S = Found->second;
+    return absl::Seconds(std::max(0.0, S.Mean - DeviationsEarly * S.Deviation));
+  }
+
   /// Time after which an answer is late; infinite while too few are known.
   absl::Duration late(const KindId &Kind) const {
     auto Found = this->Kinds.find(Kind);
@@ -47,6 +56,7 @@
   static constexpr double MinSeconds = 0.001;
   static constexpr int64_t MinSamples = 20;
   static constexpr double DeviationsLate = 4;
+  static constexpr double DeviationsEarly = 2;
   // Below this, a hedged attempt costs more than it saves.
   static constexpr double MinLateSeconds = 0.02;
 
--- a/libs/requests/src/WorkerTable.cpp
+++ b/libs/requests/src/WorkerTable.cpp
@@ -7,6 +7,9 @@
 // A worker that looked full this long ago may have room: other hosts' requests
 // have ended since, and a refusal costs one short call.
 static constexpr absl::Duration StaleView = absl::Milliseconds(250);
+// For urgent work the wait for a view costs more than a refusal. The reserve
+// leaves a free slot on most workers, so few tries are needed.
+static constexpr absl::Duration StaleViewForUrgent = absl::Milliseconds(20);
 
 WorkerTable::WorkerTable(std::unique_ptr<WorkerSelector> Selector,
                          std::unique_ptr<WorkerHealth> Health,
@@ -97,7 +100,15 @@
   return Reservation{*Chosen, this->Workers[*Chosen].ViewSerial, Urgent};
 }
 
-bool WorkerTable::isReserveLeft(double ReserveShare) const {
+bool WorkerTable::isShareUsed(double ReserveShare, double HostShare) const {
+  int Others = this->InFlightTotal - this->UrgentInFlight;
+  double Most = this->SlotTotal * (1 - ReserveShare) * HostShare;
+  return Others >= std::max(Most, 1.0);
+}
+
+bool WorkerTable::isReserveLeft(double ReserveShare, double HostShare) const {
+  if (this->isShareUsed(ReserveShare, HostShare))
+    return true;
   // Views do not tell what other hosts run. Callers are spread over the hosts
   // at random, so the mix of this host stands for all: a flood of urgent work
   // fills the reserve, and what is free beyond it is shared.
@@ -143,7 +154,9 @@
 }
 
 void WorkerTable::onRefused(size_t I, absl::Time Now) {
-  this->onLost(I, Now);
+  // A refusal says that other hosts took the slots, not that the worker is
+  // overloaded. A lower limit would fall below what runs there and shut out
+  // urgent work until long tasks end.
   this->setFreeSlots(I, 0, Now);
 }
 
@@ -152,6 +165,26 @@
   this->refresh(I, Now);
 }
 
+bool WorkerTable::openOldestView(absl::Time Now) {
+  std::optional<size_t> Oldest;
+  for (size_t I = 0; I < this->Workers.size(); ++I) {
+    const Worker &W = this->Workers[I];
+    const WorkerCandidate &C = this->Candidates[I];
+    if (!W.Present || C.Draining || C.InFlight >= C.Limit ||
+        Now - W.ViewTime < StaleViewForUrgent)
+      continue;
+    if (!Oldest || W.ViewTime < this->Workers[*Oldest].ViewTime)
+      Oldest = I;
+  }
+  if (!Oldest)
+    return false;
+  this->Candidates[*Oldest].FreeSlots =
+      this->Candidates[*Oldest].SentSinceView + 1;
+  this->Workers[*Oldest].ViewTime = Now;
+  this->refresh(*Oldest, Now);
+  return this->RoomTotal > 0;
+}
+
 void WorkerTable::refreshAll(absl::Time Now) {
   for (size_t I = 0; I < this->Workers.size(); ++I) {
     Worker &W = this->Workers[I];
--- a/libs/requests/src/WorkerTable.h
+++ b/libs/requests/src/WorkerTable.h
@@ -53,6 +53,11 @@
   /// view is old are tried with one request.
   void refreshAll(absl::Time Now);
 
+  /// Lets one request try the worker with the oldest view, for urgent work
+  /// when all workers look full.
+  /// \returns false if every view is too new for that.
+  bool openOldestView(absl::Time Now);
+
   const WorkerCapacity &view(size_t Worker) const {
     return this->Workers[Worker].View;
   }
@@ -60,7 +65,11 @@
   int room() const { return this->RoomTotal; }
   /// True if the slots that are left belong to the urgent reserve.
   /// \param ReserveShare share of all slots that only urgent work may use.
-  bool isReserveLeft(double ReserveShare) const;
+  /// \param HostShare share of the other slots that this host may fill.
+  bool isReserveLeft(double ReserveShare, double HostShare) const;
+  /// True if this host has filled its share of the slots that are not kept
+  /// for urgent work.
+  bool isShareUsed(double ReserveShare, double HostShare) const;
 
 private:
   struct Worker {
--- a/libs/requests/tests/FloodTest.cpp
+++ b/libs/requests/tests/FloodTest.cpp
@@ -166,3 +166,54 @@
   EXPECT_EQ(F.S.Workers.ByBody.size(), 32u);
   EXPECT_EQ(F.S.Workers.ByBody["100"] + F.S.Workers.ByBody["103"], 2);
 }
+
+/// Price checks through two hosts whose views of the workers are up to half a
+/// second old, with tasks of 2 s.
+static double longestPriceCheckOfTwoHosts(bool WithFlood, double SlotShare) {
+  Flood F(QueueOrder::WeightedFair);
+  // Equal run times, so that longer answers are longer waits.
+  F.S.Workers.Fault.RunTime = absl::Seconds(2);
+  F.S.Workers.Fault.RunTimeSpread = 0;
+  F.S.Config.Presets[0].UrgentReserve = 0.25;
+  F.S.Hosts.push_back(std::make_unique<Simulation::Host>(F.S, 1));
+  for (auto &Host : F.S.Hosts) {
+    F.S.startHost(*Host);
+    Host->Task->setSlotShare(SlotShare);
+  }
+  auto Send = [&F](size_t Host, const std::string &Kind) {
+    F.Sent.push_back(
+        {Kind, F.S.World.now(),
+         &F.S.submit(Host, Kind, "", fmt::format("{}", F.Sent.size()),
+                     absl::Seconds(20), Kind)});
+  };
+  constexpr int Burst = 100;
+  for (size_t I = 0; WithFlood && I < Burst; ++I)
+    Send(I % 2, "photo-match");
+  for (int T = 0; T < 10000; T += 25) {
+    size_t Host = static_cast<size_t>(T / 25 % 2);
+    if (T % 675 == 0)
+      Send(Host, "price-check");
+    if (WithFlood)
+      Send(Host, "photo-match");
+    if (T % 500 == 0)
+      for (auto &Each : F.S.Hosts)
+        F.S.sendViews(*Each);
+    F.S.World.advance(absl::Milliseconds(25));
+  }
+  F.S.World.advance(absl::Seconds(20));
+  return F.percentile("price-check", 1);
+}
+
+// Guards against hosts that each fill all slots when a flood begins, because
+// their views do not tell what the other one has sent: price checks then wait
+// for the first long tasks to end.
+TEST(FloodTest, PriceChecksThroughSeveralHostsDuringAFlood) {
+  double Unloaded = longestPriceCheckOfTwoHosts(false, 0.5);
+  double Flooded = longestPriceCheckOfTwoHosts(true, 0.5);
+  double WithoutShares = longestPriceCheckOfTwoHosts(true, 1);
+  std::cout << "longest price check in ms, two hosts: unloaded " << Unloaded
+            << ", flooded " << Flooded << ", without shares " << WithoutShares
+            << "\n";
+  EXPECT_LE(Flooded, 1.5 * Unloaded);
+  EXPECT_GT(WithoutShares, Flooded);
+}
