Add system tests on real processes

The libraries are tested on a virtual clock and against fakes; nothing checked that the daemon, the command line and the stand-ins together keep the promises when processes die, freeze or lose the store. tests/system starts small clusters by the test harness and breaks them.

--- /dev/null
+++ b/tests/system/src/BadInputTest.cpp
@@ -0,0 +1,216 @@
+#include "SystemTest.h"
+
+#include "standin_worker/TaskBody.h"
+
+#include <arpa/inet.h>
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace vanillayard {
+
+using nlohmann::json;
+
+namespace {
+
+/// A connection that sends bytes that no HTTP client would send.
+class RawConnection {
+public:
+  explicit RawConnection(const Endpoint &To) {
+    std::string Text = To.str();
+    size_t Colon = Text.rfind(':');
+    sockaddr_in Address = {};
+    Address.sin_family = AF_INET;
+    Address.sin_port =
+        htons(static_cast<uint16_t>(std::stoi(Text.substr(Colon + 1))));
+    inet_pton(AF_INET, Text.substr(0, Colon).c_str(), &Address.sin_addr);
+    this->Socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    this->Open =
+        ::connect(this->Socket, reinterpret_cast<const sockaddr *>(&Address),
+                  sizeof(Address)) == 0;
+  }
+  ~RawConnection() { ::close(this->Socket); }
+  RawConnection(const RawConnection &) = delete;
+  RawConnection &operator=(const RawConnection &) = delete;
+
+  bool isOpen() const { return this->Open; }
+  void send(const std::string &Bytes) {
+    (void)!::send(this->Socket, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
+  }
+  /// Reads what has arrived. Sets isOpen() to false at the end.
+  void read() {
+    pollfd Ready = {this->Socket, POLLIN, 0};
+    while (this->Open && ::poll(&Ready, 1, 0) > 0) {
+      char Buffer[4096];
+      ssize_t Count = ::recv(this->Socket, Buffer, sizeof(Buffer), 0);
+      if (Count > 0)
+        this->Received.append(Buffer, static_cast<size_t>(Count));
+      else
+        this->Open = false;
+    }
+  }
+  const std::string &received() const { return this->Received; }
+
+private:
+  int Socket = -1;
+  bool Open = false;
+  std::string Received;
+};
+
+class BadInputTest : public SystemTest {
+protected:
+  void SetUp() override {
+    this->start(Cluster::Builder().workersPerDataCentre(2).settings(
+        [](Settings::Builder &Text) {
+          Text.requestTimeout(absl::Seconds(2));
+        }));
+  }
+  /// Other requests go on.
+  void checkServing() {
+    std::string Body = TaskBody::make(absl::Milliseconds(5), "good request");
+    for (size_t Host : {0, 1}) {
+      HttpResponse Answer = this->send(Host, priceCheck(Body));
+      EXPECT_EQ(Answer.Status, 200) << Answer.Body;
+    }
+  }
+  /// Checks the problem details of an answer.
+  void expectProblem(const HttpResponse &Answer, int Status,
+                     const std::string &Kind) {
+    EXPECT_EQ(Answer.Status, Status) << Answer.Body;
+    EXPECT_EQ(Answer.Headers.get("Content-Type"), "application/problem+json");
+    json Problem = parse(Answer.Body);
+    EXPECT_EQ(Problem.value("kind", ""), Kind) << Answer.Body;
+    EXPECT_EQ(Problem.value("execution", ""), "not_run") << Answer.Body;
+    EXPECT_EQ(Problem.value("status", 0), Status) << Answer.Body;
+    EXPECT_FALSE(Problem.value("detail", "").empty()) << Answer.Body;
+    this->checkServing();
+  }
+  HttpResponse sendJob(const std::string &Body) {
+    HttpRequest Request;
+    Request.Method = "POST";
+    Request.Path = "/v1/jobs";
+    Request.Body = Body;
+    return this->send(0, Request);
+  }
+  /// Sends \p Bytes raw and then nothing; expects an answer with \p Status.
+  void expectRaw(const std::string &Bytes, const std::string &Status) {
+    RawConnection Raw(this->cluster().host(0).Caller);
+    ASSERT_TRUE(Raw.isOpen());
+    Raw.send(Bytes);
+    this->waitUntil(
+        [&] {
+          Raw.read();
+          return !Raw.isOpen() ||
+                 Raw.received().find("\r\n\r\n") != std::string::npos;
+        },
+        absl::Seconds(20));
+    EXPECT_EQ(Raw.received().substr(0, 12), "HTTP/1.1 " + Status)
+        << Raw.received();
+    this->checkServing();
+  }
+};
+
+} // namespace
+
+// Guards against a bad request that is taken, answered without a reason, or
+// that disturbs the requests of others.
+TEST_F(BadInputTest, ParsedRequestsGetProblemDetails) {
+  ASSERT_FALSE(this->HasFatalFailure());
+  HttpRequest Unknown = priceCheck("{}");
+  HttpRequest Named;
+  for (const char *Header : {"Vanillayard-Account", "Vanillayard-Kind"}) {
+    SCOPED_TRACE(Header);
+    Named = Unknown;
+    Named.Headers = HttpHeaders();
+    for (const auto &[Name, Value] : Unknown.Headers.fields())
+      Named.Headers.add(Name, Name == Header ? "nobody" : Value);
+    bool IsAccount = Header == std::string("Vanillayard-Account");
+    this->expectProblem(this->send(0, Named), IsAccount ? 403 : 400,
+                        IsAccount ? "unknown_account" : "unknown_kind");
+  }
+  {
+    SCOPED_TRACE("malformed JSON");
+    this->expectProblem(this->sendJob("{\"account\": "), 400,
+                        "invalid_request");
+  }
+  {
+    SCOPED_TRACE("job of an unknown account");
+    json Job = gang(1, "{}");
+    Job["account"] = "nobody";
+    this->expectProblem(this->sendJob(Job.dump()), 403, "unknown_account");
+  }
+  {
+    SCOPED_TRACE("job of an unknown kind");
+    json Job = gang(1, "{}");
+    Job["kind"] = "nothing";
+    this->expectProblem(this->sendJob(Job.dump()), 400, "unknown_kind");
+  }
+}
+
+// Guards against an oversized body that is read without bound or run.
+TEST_F(BadInputTest, OversizedBodyIsRefused) {
+  ASSERT_FALSE(this->HasFatalFailure());
+  std::string Body((1 << 20) + 1, 'x');
+  HttpResponse Answer = this->send(0, priceCheck(Body));
+  EXPECT_EQ(Answer.Status, 413) << Answer.Body;
+  EXPECT_TRUE(this->runsOf(Body).empty());
+  this->checkServing();
+}
+
+// The part of a request that comes before any header of interest.
+static constexpr char RequestStart[] =
+    "POST /v1/requests HTTP/1.1\r\nHost: a\r\n";
+
+// Guards against a body that is refused only after all of it has arrived.
+TEST_F(BadInputTest, DeclaredOversizedBodyIsRefusedAtOnce) {
+  ASSERT_FALSE(this->HasFatalFailure());
+  this->expectRaw(
+      fmt::format("{}Content-Length: {}\r\n\r\n", RequestStart, 2 << 20),
+      "413");
+}
+
+// Guards against headers that are kept in memory without bound.
+TEST_F(BadInputTest, TooManyHeadersAreRefused) {
+  ASSERT_FALSE(this->HasFatalFailure());
+  std::string Many = RequestStart;
+  for (int I = 0; I < 2000; ++I)
+    Many += fmt::format("X-Filler-{}: {}\r\n", I, std::string(64, 'x'));
+  this->expectRaw(Many + "\r\n", "431");
+}
+
+// Guards against connections that are held for ever by a sender that stops
+// in the middle of a request, and a close without a reason.
+TEST_F(BadInputTest, SlowSendersAreToldOfTheTimeout) {
+  ASSERT_FALSE(this->HasFatalFailure());
+  {
+    SCOPED_TRACE("headers never end");
+    this->expectRaw(RequestStart, "408");
+  }
+  {
+    SCOPED_TRACE("body never ends");
+    this->expectRaw(
+        fmt::format("{}Content-Length: 100\r\n\r\nshort", RequestStart), "408");
+  }
+}
+
+// Guards against a job that waits for ever, and holds up others, because no
+// data centre could ever start it.
+TEST_F(BadInputTest, GangThatNeverFitsIsToldSo) {
+  ASSERT_FALSE(this->HasFatalFailure());
+  HttpResponse Answer = this->sendJob(gang(64, "too large").dump());
+  json Job = parse(Answer.Body);
+  if (Answer.Status == 202) {
+    Job = this->awaitEnd(1, Job.value("id", ""));
+    EXPECT_EQ(Job.value("state", ""), "never_fits") << Job;
+    EXPECT_EQ(Job.value("execution", ""), "not_run") << Job;
+  } else {
+    this->expectProblem(Answer, 422, "never_fits");
+  }
+  std::string Body = TaskBody::make(absl::Milliseconds(50), "fits");
+  Job = this->awaitEnd(0, this->submit(0, gang(2, Body), "fits"));
+  EXPECT_EQ(Job.value("state", ""), "finished") << Job;
+}
+
+} // namespace vanillayard
--- /dev/null
+++ b/tests/system/src/EntryHostTest.cpp
@@ -0,0 +1,119 @@
+#include "SystemTest.h"
+
+#include "standin_worker/TaskBody.h"
+
+#include <fmt/format.h>
+
+namespace vanillayard {
+
+using nlohmann::json;
+
+namespace {
+
+/// A caller of a request that must not run twice. It sends the request again
+/// with the same key until it has a result or an error that is final.
+struct Caller {
+  std::string Body;
+  std::string Key;
+  HttpResponse Last;
+  bool Done = false;
+};
+
+class EntryHostTest : public SystemTest {
+protected:
+  void sendAll(size_t Host) {
+    for (Caller &Each : this->Callers)
+      this->send(Each, Host);
+  }
+  bool allDone() const {
+    for (const Caller &Each : this->Callers)
+      if (!Each.Done)
+        return false;
+    return true;
+  }
+  void checkAgainstLog();
+
+  std::vector<Caller> Callers;
+  size_t RetryHost = 0;
+
+private:
+  void send(Caller &Each, size_t Host);
+};
+
+} // namespace
+
+static constexpr absl::Duration CallTimeout = absl::Seconds(30);
+static constexpr absl::Duration RetryPause = absl::Milliseconds(100);
+
+void EntryHostTest::send(Caller &Each, size_t Host) {
+  this->cluster().http().begin(
+      this->cluster().host(Host).Caller, quickProof(Each.Body, Each.Key),
+      CallTimeout, [this, &Each](absl::StatusOr<HttpResponse> Answer) {
+        Each.Last = Answer.ok() ? std::move(*Answer) : HttpResponse{0, {}, ""};
+        json Problem = parse(Each.Last.Body);
+        bool IsOpen = Each.Last.Status == 0 ||
+                      (Each.Last.Status != 200 &&
+                       Problem.value("kind", "") == "in_progress");
+        if (!IsOpen) {
+          Each.Done = true;
+          return;
+        }
+        this->cluster().http().loop().runAfter(
+            RetryPause, [this, &Each] { this->send(Each, this->RetryHost); });
+      });
+}
+
+void EntryHostTest::checkAgainstLog() {
+  for (const Caller &Each : this->Callers) {
+    size_t Runs = this->runsOf(Each.Body).size();
+    SCOPED_TRACE(fmt::format("{}: {} {}, {} run(s)", Each.Key,
+                             describe(Each.Last), Each.Last.Body, Runs));
+    EXPECT_LE(Runs, 1U);
+    if (Each.Last.Status == 200) {
+      EXPECT_EQ(Runs, 1U);
+      EXPECT_TRUE(TaskBody::isResultOf(Each.Last.Body, "", Each.Body));
+      continue;
+    }
+    std::string Execution = parse(Each.Last.Body).value("execution", "");
+    EXPECT_TRUE(Execution == "not_run" || Execution == "may_have_run" ||
+                Execution == "ran");
+    if (Execution == "not_run") {
+      EXPECT_EQ(Runs, 0U);
+    }
+    if (Execution == "ran") {
+      EXPECT_EQ(Runs, 1U);
+    }
+  }
+}
+
+// Guards against a second run, a lost answer or an untrue execution value
+// when the host that holds a claim dies before, during or after the run.
+TEST_F(EntryHostTest, RetriesAfterKilledHostRunAtMostOnce) {
+  this->start(Cluster::Builder().workersPerDataCentre(2));
+  if (this->HasFatalFailure())
+    return;
+  // More than the slots, so that some requests are still queued at the kill.
+  for (int I = 0; I < 60; ++I)
+    this->Callers.push_back(
+        {TaskBody::make(absl::Milliseconds(300), fmt::format("proof {}", I)),
+         fmt::format("proof-{}", I),
+         {},
+         false});
+  this->RetryHost = 1;
+  this->sendAll(0);
+  ASSERT_TRUE(this->waitUntil([&] {
+    auto All = this->cluster().executions();
+    return All.ok() && All->size() >= 20;
+  }));
+  this->cluster().host(0).Running->kill();
+  EXPECT_TRUE(this->waitUntil([&] { return this->allDone(); }));
+  this->checkAgainstLog();
+  size_t Answered = 0;
+  for (const Caller &Each : this->Callers)
+    Answered += Each.Last.Status == 200;
+  // Those queued or finished at the kill are answered; only those that were
+  // running may be left with an unknown outcome.
+  EXPECT_GE(Answered, this->Callers.size() / 2);
+}
+
+} // namespace vanillayard
--- /dev/null
+++ b/tests/system/src/WorkerTest.cpp
@@ -0,0 +1,119 @@
+#include "SystemTest.h"
+
+#include "standin_worker/TaskBody.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+
+namespace vanillayard {
+
+using nlohmann::json;
+
+namespace {
+
+class WorkerTest : public SystemTest {
+protected:
+  /// Sends price checks through all hosts in turn, \p Parallel at a time,
+  /// while \p Continue holds.
+  void load(int Parallel, const std::function<bool()> &Continue) {
+    EXPECT_TRUE(this->waitUntil(
+        [&] {
+          while (this->Open < Parallel && Continue())
+            this->sendOne();
+          return this->Open == 0 && !Continue();
+        },
+        absl::Seconds(60)));
+  }
+
+  /// Starts of tasks by worker, from \p Since on.
+  std::map<std::string, int> startsSince(absl::Time Since) {
+    std::map<std::string, int> Starts;
+    auto All = this->cluster().executions();
+    EXPECT_TRUE(All.ok()) << All.status();
+    if (All.ok())
+      for (const json &Run : *All)
+        if (Run["started_ms"].get<int64_t>() >= absl::ToUnixMillis(Since))
+          ++Starts[Run["worker"].get<std::string>()];
+    return Starts;
+  }
+
+  /// Answers by description, and the place of the last that was not a result.
+  std::map<std::string, int> Answers;
+  int Sent = 0;
+  int LastError = 0;
+  int Open = 0;
+
+private:
+  void sendOne() {
+    ++this->Open;
+    int Number = ++this->Sent;
+    size_t Host = static_cast<size_t>(Number) % this->cluster().hostCount();
+    std::string Body =
+        TaskBody::make(absl::Milliseconds(20), fmt::format("check {}", Number));
+    this->cluster().http().begin(
+        this->cluster().host(Host).Caller, priceCheck(Body), absl::Seconds(30),
+        [this, Number](const absl::StatusOr<HttpResponse> &Answer) {
+          --this->Open;
+          bool IsResult = Answer.ok() && Answer->Status == 200;
+          ++this->Answers[Answer.ok() ? describe(*Answer) : "no answer"];
+          if (!IsResult)
+            this->LastError = std::max(this->LastError, Number);
+        });
+  }
+};
+
+} // namespace
+
+// Guards against new work on a worker that an operator drains, that the host
+// list says is leaving, or whose own status says draining.
+TEST_F(WorkerTest, LeavingWorkersGetNoNewWork) {
+  this->start(Cluster::Builder().workersPerDataCentre(5));
+  if (this->HasFatalFailure())
+    return;
+  this->load(10, [&] { return this->Sent < 200; });
+  const std::vector<WorkerNode> &Workers = this->cluster().workers();
+  std::map<std::string, int> Before = this->startsSince(absl::UnixEpoch());
+  for (size_t I = 0; I < 3; ++I)
+    EXPECT_GT(Before[Workers[I].Name.str()], 0) << "no work before";
+
+  auto Drained = this->cluster().command(
+      0, {"--admin=" + this->cluster().host(1).Admin.str(), "drain", "worker",
+          Workers[0].Name.str()});
+  EXPECT_TRUE(Drained.ok()) << Drained.status();
+  absl::Status Listed = this->cluster().publishHosts({Workers[1].Name});
+  ASSERT_TRUE(Listed.ok()) << Listed;
+  Listed = this->cluster().setFaults(Workers[2], R"({"draining": true})");
+  ASSERT_TRUE(Listed.ok()) << Listed;
+
+  absl::Time Left = absl::Now() + absl::Seconds(5);
+  absl::Time End = Left + absl::Seconds(2);
+  this->load(10, [End] { return absl::Now() < End; });
+  std::map<std::string, int> After = this->startsSince(Left);
+  EXPECT_EQ(After[Workers[0].Name.str()], 0) << "drained by an operator";
+  EXPECT_EQ(After[Workers[1].Name.str()], 0) << "leaving in the host list";
+  EXPECT_EQ(After[Workers[2].Name.str()], 0) << "draining by its own status";
+  EXPECT_GT(After[Workers[3].Name.str()] + After[Workers[4].Name.str()], 0);
+  EXPECT_EQ(this->Answers["200"], this->Sent) << json(this->Answers);
+}
+
+// Guards against a worker that fails everything at once, and so always has
+// free slots, drawing in and failing the requests of all callers.
+TEST_F(WorkerTest, FailingWorkerFailsNoOtherRequests) {
+  this->start(Cluster::Builder().workersPerDataCentre(4));
+  if (this->HasFatalFailure())
+    return;
+  const WorkerNode &Bad = this->cluster().workers().front();
+  absl::Status Set =
+      this->cluster().setFaults(Bad, R"({"fail_everything": true})");
+  ASSERT_TRUE(Set.ok()) << Set;
+  this->load(8, [&] { return this->Sent < 400; });
+  // Each host ejects the worker after 3 failures.
+  constexpr int MaxErrors = 2 * 3;
+  EXPECT_GE(this->Answers["200"], this->Sent - MaxErrors)
+      << json(this->Answers);
+  EXPECT_LT(this->LastError, this->Sent / 2) << json(this->Answers);
+}
+
+} // namespace vanillayard
