Show jobs and runs when a planner test's set-up fails

The frozen planner test failed once because its two jobs were not running 40 s after submission, and the message did not say which of them was missing.

--- a/tests/system/src/PlannerTest.cpp
+++ b/tests/system/src/PlannerTest.cpp
@@ -9,7 +9,18 @@
 using nlohmann::json;
 
 namespace {
-class PlannerTest : public SystemTest {};
+class PlannerTest : public SystemTest {
+protected:
+  /// State of all jobs as a host sees them, and all runs, for failures.
+  std::string describeJobs(size_t Host) {
+    auto Jobs = this->cluster().http().get(this->cluster().host(Host).Admin,
+                                           "/v1/admin/jobs");
+    auto Runs = this->cluster().executions();
+    return (Jobs.ok() ? Jobs->Body : "no jobs") + "\n" +
+           this->status(Host)["queues"].dump() + "\n" +
+           (Runs.ok() ? json(*Runs).dump() : "no runs");
+  }
+};
 } // namespace
 
 static constexpr int Members = 2;
@@ -27,8 +38,9 @@
   std::string Queued = TaskBody::make(absl::Milliseconds(200), "queued gang");
   std::string First =
       this->submit(Other, gang(Members, Running), "running gang");
-  ASSERT_TRUE(
-      this->waitUntil([&] { return this->runningOf(Running) == Members; }));
+  ASSERT_TRUE(this->waitUntil([&] {
+    return this->runningOf(Running) == Members;
+  })) << this->describeJobs(Planner);
   std::string Second =
       this->submit(Other, gang(Members, Queued), "queued gang");
   EXPECT_TRUE(this->runsOf(Queued).empty()) << "the job was not queued";
@@ -88,7 +100,7 @@
   std::string OnceId = this->submit(Other, gang(1, Once), "runs once");
   ASSERT_TRUE(this->waitUntil([&] {
     return this->runningOf(Again) == Members && this->runningOf(Once) == 1;
-  }));
+  })) << this->describeJobs(Planner);
   this->cluster().host(Planner).Running->pause();
   bool HasExpired = this->waitUntil([&] {
     for (const json &Run : this->runsOf(Again))
