Make the system tests clean under clang-tidy

Three findings: a vector that grows in a loop, a copied string, and a number parsed by a function that may throw.

--- a/tests/system/src/BadInputTest.cpp
+++ b/tests/system/src/BadInputTest.cpp
@@ -3,6 +3,7 @@
 #include "standin_worker/TaskBody.h"
 
 #include <arpa/inet.h>
+#include <cstdlib>
 #include <fmt/format.h>
 #include <netinet/in.h>
 #include <poll.h>
@@ -19,12 +20,12 @@
 class RawConnection {
 public:
   explicit RawConnection(const Endpoint &To) {
-    std::string Text = To.str();
+    const std::string &Text = To.str();
     size_t Colon = Text.rfind(':');
     sockaddr_in Address = {};
     Address.sin_family = AF_INET;
-    Address.sin_port =
-        htons(static_cast<uint16_t>(std::stoi(Text.substr(Colon + 1))));
+    Address.sin_port = htons(static_cast<uint16_t>(
+        std::strtol(Text.c_str() + Colon + 1, nullptr, 10)));
     inet_pton(AF_INET, Text.substr(0, Colon).c_str(), &Address.sin_addr);
     this->Socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     this->Open =
--- a/tests/system/src/ConfigurationTest.cpp
+++ b/tests/system/src/ConfigurationTest.cpp
@@ -89,6 +89,7 @@
   for (int Round = 0; Round < 5; ++Round) {
     std::vector<std::unique_ptr<Process>> Operators;
     std::vector<int> Weights = {2 + 2 * Round, 3 + 2 * Round};
+    Operators.reserve(Weights.size());
     for (int Weight : Weights)
       Operators.push_back(this->startApply(Round + 1, Weight));
     std::vector<int> Codes;
