Repeat job notices while the planner's role moves

Cause: PeerJobLink dropped a notice when no planner was known, as for 3 s after a start, so a job waited for the planner's next listing, up to 30 s. That also explains the reclaim of a guarantee in 31.56 s. The grace period and slow leases were ruled out: the job had not reached the planner. Change: a notice that cannot be sent is repeated each 250 ms for 20 s. Conclusion: a notice lost on a link that breaks still waits for a listing; a watch of the records in the planner would end that.

--- a/libs/daemon/include/daemon/PeerJobLink.h
+++ b/libs/daemon/include/daemon/PeerJobLink.h
@@ -4,6 +4,7 @@
 #include "daemon/JobLookup.h"
 #include "jobs/JobNotifier.h"
 
+#include <memory>
 #include <vector>
 
 namespace vanillayard {
@@ -19,6 +20,11 @@
   /// Time that a planner has to answer a query.
   static constexpr absl::Duration QueryTimeout = absl::Seconds(2);
 
+  /// While the planner's role moves, nobody can be told. A job whose notice
+  /// was dropped then waited for the next listing, up to 30 s.
+  static constexpr absl::Duration RetryInterval = absl::Milliseconds(250);
+  static constexpr int MaxRetries = 80;
+
   PeerJobLink(Executor &Exec, Membership &Peers, PlannerTask &Planner,
               DataCentreId DataCentre)
       : Exec(Exec), Peers(Peers), Planner(Planner),
@@ -30,6 +36,9 @@
 private:
   struct Query;
 
+  void notifyOrRetry(const JobChange &Change, int RetriesLeft);
+  void retryLater(const JobChange &Change, int RetriesLeft);
+
   std::vector<HostId> remotePlanners() const;
   void ask(const std::shared_ptr<Query> &State);
 
@@ -37,6 +46,8 @@
   Membership &Peers;
   PlannerTask &Planner;
   DataCentreId DataCentre;
+  /// Timers hold a weak pointer to it and do nothing when it is gone.
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
 } // namespace vanillayard
--- a/libs/daemon/src/PeerJobLink.cpp
+++ b/libs/daemon/src/PeerJobLink.cpp
@@ -17,18 +17,35 @@
 };
 
 void PeerJobLink::notify(const JobChange &Change) {
+  this->notifyOrRetry(Change, MaxRetries);
+}
+
+void PeerJobLink::retryLater(const JobChange &Change, int RetriesLeft) {
+  if (RetriesLeft == 0)
+    return;
+  this->Exec.runAfter(
+      RetryInterval,
+      [this, Change, RetriesLeft, Guard = std::weak_ptr<bool>(this->Alive)] {
+        if (!Guard.expired())
+          this->notifyOrRetry(Change, RetriesLeft - 1);
+      });
+}
+
+void PeerJobLink::notifyOrRetry(const JobChange &Change, int RetriesLeft) {
   if (Change.DataCentre == this->DataCentre && this->Planner.isPlanner()) {
     this->Planner.onJobChange(Change);
     return;
   }
   std::optional<HostId> To = this->Peers.planner(Change.DataCentre);
-  if (!To)
-    return;
-  // A lost notice delays the job until the planner lists the records again.
-  if (isTerminal(Change.State))
-    (void)this->Peers.send(*To, CancelNotice{Change.Job});
-  else
-    (void)this->Peers.send(*To, JobNotice{Change.Job, ""});
+  if (!To || *To == this->Peers.self())
+    return this->retryLater(Change, RetriesLeft);
+  // A notice that is lost on the way delays the job until the planner lists
+  // the records again.
+  absl::Status Sent = isTerminal(Change.State)
+                          ? this->Peers.send(*To, CancelNotice{Change.Job})
+                          : this->Peers.send(*To, JobNotice{Change.Job, ""});
+  if (!Sent.ok())
+    this->retryLater(Change, RetriesLeft);
 }
 
 std::vector<HostId> PeerJobLink::remotePlanners() const {
