--- /dev/null
+++ b/libs/policy/src/SlotShare.cpp
@@ -0,0 +1,24 @@
+#include "policy/SlotShare.h"
+
+#include <algorithm>
+
+namespace vanillayard {
+
+double SlotShare::update(const Sample &Seen, absl::Time Now) {
+  double Equal = 1.0 / std::max(Seen.Hosts, 1);
+  double Most = 1.0 / (1 + Seen.HostsWithBacklog);
+  double Seconds = this->LastUpdate == absl::InfinitePast()
+                       ? 0
+                       : absl::ToDoubleSeconds(Now - this->LastUpdate);
+  this->LastUpdate = Now;
+  if (!Seen.IsBinding) {
+    this->Share = Equal;
+    return this->Share;
+  }
+  if (Seen.FreeShare > Seen.UrgentReserve + GrowthPerSecond)
+    this->Share += GrowthPerSecond * Seconds;
+  this->Share = std::clamp(this->Share, Equal, std::max(Equal, Most));
+  return this->Share;
+}
+
+} // namespace vanillayard
--- a/testing/include/testing/Cluster.h
+++ b/testing/include/testing/Cluster.h
@@ -97,6 +97,10 @@
   /// Runs a command of the operators' command line for all running hosts.
   /// Returns its output. Errors: Unknown if it does not exit with 0.
   absl::StatusOr<std::string> command(std::vector<std::string> Arguments);
+
+  /// The same for one host only, so that others may be paused.
+  absl::StatusOr<std::string> commandOn(size_t Host,
+                                        std::vector<std::string> Arguments);
   /// Posts \p Faults to the stand-in of a worker.
   absl::Status setFaults(const WorkerNode &Worker, const std::string &Faults);
   /// Execution records of all workers, as JSON objects.
@@ -105,6 +109,7 @@
   void showOutput() const;
 
 private:
+  absl::StatusOr<std::string> runCommand(std::vector<std::string> Arguments);
   explicit Cluster(Builder Options) : Options(std::move(Options)) {}
 
   absl::Status startAll();
--- a/testing/src/Cluster.cpp
+++ b/testing/src/Cluster.cpp
@@ -183,10 +183,21 @@
 
 absl::StatusOr<std::string>
 Cluster::command(std::vector<std::string> Arguments) {
-  Arguments.push_back("--platform=" + this->Platform.str());
   for (const EntryHostNode &Host : this->Hosts)
     if (Host.isRunning())
       Arguments.push_back("--admin=" + Host.Admin.str());
+  return this->runCommand(std::move(Arguments));
+}
+
+absl::StatusOr<std::string>
+Cluster::commandOn(size_t Host, std::vector<std::string> Arguments) {
+  Arguments.push_back("--admin=" + this->Hosts[Host].Admin.str());
+  return this->runCommand(std::move(Arguments));
+}
+
+absl::StatusOr<std::string>
+Cluster::runCommand(std::vector<std::string> Arguments) {
+  Arguments.push_back("--platform=" + this->Platform.str());
   auto Started = Process::start(
       Process::program("vanillayard"), Arguments,
       this->Folder.file(fmt::format("command{}.log", ++this->Commands)));
