Warn of unreachable workers and unmet guarantees

Change: each host warns of the workers it polls; the planner warns of guaranteed accelerators that cannot be provided. A worker that another host polls from now on is cleared here.

--- a/libs/daemon/src/Daemon.cpp
+++ b/libs/daemon/src/Daemon.cpp
@@ -175,7 +175,7 @@
                    })
                    .onRemove([this](const WorkerId &Id) {
                      this->Requests->removeWorker(Id);
-                     this->Peers->withdrawWorker(Id);
+                     this->stopPublishing(Id);
                      this->Published.erase(Id);
                      this->PlannerWorkersChanged = true;
                    })
--- a/libs/daemon/src/DaemonImpl.h
+++ b/libs/daemon/src/DaemonImpl.h
@@ -52,6 +52,7 @@
 
   void configurationChanged();
   void workerChanged(const WorkerView &View);
+  void stopPublishing(const WorkerId &Id);
   void plannerRoleChanged(bool IsPlanner);
   void jobEvent(std::string_view Name, const JobRecord &Job);
   void handleCaller(const HttpRequest &Request,
--- a/libs/daemon/src/DaemonWork.cpp
+++ b/libs/daemon/src/DaemonWork.cpp
@@ -56,6 +56,12 @@
   this->PlannerWorkersChanged = true;
 }
 
+void Daemon::Impl::stopPublishing(const WorkerId &Id) {
+  this->Peers->withdrawWorker(Id);
+  // The host that polls the worker from now on warns of it.
+  this->Warnings.clear({WarningCondition::WorkerUnreachable, Id.str()});
+}
+
 void Daemon::Impl::plannerRoleChanged(bool IsPlanner) {
   this->Events.record(IsPlanner ? "planner role taken"
                                 : "planner role given up",
@@ -100,7 +106,7 @@
   std::erase_if(this->Published, [this](const WorkerId &Id) {
     if (this->Peers->ownsWorker(Id))
       return false;
-    this->Peers->withdrawWorker(Id);
+    this->stopPublishing(Id);
     return true;
   });
   if (this->PlannerWorkersChanged)
@@ -166,8 +172,9 @@
 void Daemon::Impl::checkWarnings() {
   this->Warnings.setRank(this->Peers->rank());
   auto Set = [this](WarningCondition Condition, bool Holds,
-                    const std::string &Detail) {
-    WarningKey Key{Condition, ""};
+                    const std::string &Detail,
+                    const std::string &Subject = "") {
+    WarningKey Key{Condition, Subject};
     if (Holds)
       this->Warnings.raise(Key, Detail);
     else
@@ -185,6 +192,13 @@
   Set(WarningCondition::ManyWorkersExcluded, Excluded * 3 > All,
       std::to_string(Excluded) + " of " + std::to_string(All) +
           " workers do not answer");
+  for (const WorkerView &View : this->Monitor->ownedViews())
+    Set(WarningCondition::WorkerUnreachable, View.Ejected,
+        "the worker does not answer polls", View.Worker.str());
+  int Unmet = this->Planner->report().UnmetAccelerators;
+  Set(WarningCondition::GuaranteeUnmet, Unmet > 0,
+      std::to_string(Unmet) + " guaranteed accelerators cannot be provided",
+      this->Options.DataCentre.str());
   std::vector<std::string> Names;
   for (const WarningKey &Key : this->Warnings.announced()) {
     std::string Name(warningRuleFor(Key.Condition).Name);
