Give FramedListener a header of its own

Cause: one header held two classes; the house style asks for one. Change: net/FramedListener.h with listenFramed(). Conclusion: the value types in WorkerTypes.h, Configuration.h, Store.h, HostDirectory.h and HttpMessage.h still share headers.

--- a/libs/net/include/net/FramedLink.h
+++ b/libs/net/include/net/FramedLink.h
@@ -37,13 +37,6 @@
   virtual absl::Status send(const std::string &Message) = 0;
 };
 
-/// Accepts links. Destroying it closes the listening socket only.
-class FramedListener {
-public:
-  virtual ~FramedListener() = default;
-  virtual Endpoint address() const = 0;
-};
-
 /// Opens a link; \p Done runs once, in the loop.
 /// Errors: InvalidArgument for a bad address, Unavailable if no connection
 /// was made.
@@ -51,12 +44,6 @@
     LoopExecutor &Loop, const Endpoint &To,
     std::function<void(absl::StatusOr<std::unique_ptr<FramedLink>>)> Done);
 
-/// Listens at \p Address (port 0 lets the kernel choose) and passes each new
-/// link to \p Accepted. Errors: InvalidArgument, Unavailable.
-absl::StatusOr<std::unique_ptr<FramedListener>>
-listenFramed(LoopExecutor &Loop, const Endpoint &Address,
-             std::function<void(std::unique_ptr<FramedLink>)> Accepted);
-
 } // namespace vanillayard
 
 #endif
--- a/libs/net/src/FramedLink.cpp
+++ b/libs/net/src/FramedLink.cpp
@@ -1,4 +1,4 @@
-#include "net/FramedLink.h"
+#include "net/FramedListener.h"
 
 #include "Address.h"
 #include "net/LoopExecutor.h"
--- a/libs/net/tests/FramedLinkTest.cpp
+++ b/libs/net/tests/FramedLinkTest.cpp
@@ -1,4 +1,4 @@
-#include "net/FramedLink.h"
+#include "net/FramedListener.h"
 #include "net/LoopExecutor.h"
 
 #include <gtest/gtest.h>
--- a/libs/peer/src/TcpPeerTransportImpl.h
+++ b/libs/peer/src/TcpPeerTransportImpl.h
@@ -2,7 +2,7 @@
 #define VANILLAYARD_PEER_SRC_TCPPEERTRANSPORTIMPL_H
 
 #include "base/Executor.h"
-#include "net/FramedLink.h"
+#include "net/FramedListener.h"
 #include "peer/TcpPeerTransport.h"
 
 #include "absl/random/random.h"
--- a/libs/peer/tests/TcpPeerTransportTest.cpp
+++ b/libs/peer/tests/TcpPeerTransportTest.cpp
@@ -1,5 +1,5 @@
 #include "peer/TcpPeerTransport.h"
-#include "net/FramedLink.h"
+#include "net/FramedListener.h"
 #include "net/LoopExecutor.h"
 
 #include <gtest/gtest.h>
