Give load reports of data centres their true age

Cause: PeerForwarder stamped each report with the present time, so the check that leaves out reports older than 3 s never applied. Change: the time of the last direct message of a host there. Conclusion: a data centre that went silent gets no forwarded requests after 3 s, before its hosts count as dead.

--- a/libs/daemon/include/daemon/PeerForwarder.h
+++ b/libs/daemon/include/daemon/PeerForwarder.h
@@ -31,6 +31,8 @@
                AnswerCallback Done) override;
 
 private:
+  absl::Time lastReport(const DataCentreId &Id) const;
+
   Executor &Exec;
   Membership &Peers;
   DataCentreId DataCentre;
--- a/libs/daemon/src/PeerForwarder.cpp
+++ b/libs/daemon/src/PeerForwarder.cpp
@@ -7,6 +7,7 @@
 #include "requests/SubmittedRequest.h"
 #include "wire/Envelope.h"
 
+#include <algorithm>
 #include <optional>
 
 namespace vanillayard {
@@ -19,12 +20,24 @@
     DataCentreLoad Load;
     Load.DataCentre = Id;
     Load.QueueDelay = this->Peers.loadOf(Id).QueueDelay;
-    Load.Reported = this->Exec.now();
+    Load.Reported = this->lastReport(Id);
     Load.Reachable = !this->Peers.liveHosts(Id).empty();
     this->Loads.push_back(std::move(Load));
   }
 }
 
+absl::Time PeerForwarder::lastReport(const DataCentreId &Id) const {
+  // Relayed digests carry no time of the host itself; the membership drops
+  // them when they are old.
+  if (this->Peers.isRelaying())
+    return this->Exec.now();
+  absl::Time Last = absl::InfinitePast();
+  for (const PeerHost &Host : this->Peers.hosts())
+    if (Host.DataCentre == Id && Host.isUsable())
+      Last = std::max(Last, Host.LastDirect);
+  return Last;
+}
+
 void PeerForwarder::forward(const DataCentreId &Target,
                             const SubmittedRequest &Request,
                             AnswerCallback Done) {
