--- a/libs/policy/src/SlotShare.cpp
+++ b/libs/policy/src/SlotShare.cpp
@@ -7,11 +7,10 @@
 double SlotShare::update(const Sample &Seen, absl::Time Now) {
   double Equal = 1.0 / std::max(Seen.Hosts, 1);
   double Most = 1.0 / (1 + Seen.HostsWithBacklog);
-  double Seconds = this->LastUpdate == absl::InfinitePast()
-                       ? 0
-                       : absl::ToDoubleSeconds(Now - this->LastUpdate);
+  bool IsFirst = this->LastUpdate == absl::InfinitePast();
+  double Seconds = IsFirst ? 0 : absl::ToDoubleSeconds(Now - this->LastUpdate);
   this->LastUpdate = Now;
-  if (!Seen.IsBinding) {
+  if (IsFirst || !Seen.IsBinding) {
     this->Share = Equal;
     return this->Share;
   }
