Let leases of workers that do not answer run out; drop gone workers from the record

Each renewal that got no answer counted as one that may have extended the lease, so its end moved on for ever. Takeover took 11.3 s, as workers that had left long ago stayed in the record and their lease of 10 s was waited for.

Ruled out: that the takeover lost the task. It was adopted with its run; the worker was gone from the registrations 300 ms later.

Change: a renewal extends the lease only while the worker answers; the record holds only workers that are driven; leases are 6 s where the platform allows longer ones.

--- a/libs/control/include/control/LeaderTerms.h
+++ b/libs/control/include/control/LeaderTerms.h
@@ -11,8 +11,13 @@
 /// settings replace the defaults.
 struct LeaderTerms {
   SchedulerTerms Scheduling;
-  /// Longest lease that workers grant.
-  absl::Duration WorkerLease = absl::Seconds(6);
+  /// Lease that workers are given. It has to outlast the change of the leader;
+  /// the tasks of a worker that is lost wait for its end.
+  absl::Duration WorkerLease = PreferredWorkerLease;
+
+  /// Twice the time in which a new leader renews all leases after all hosts
+  /// were lost together: 2.5 s for the old role to expire, and their start.
+  static constexpr absl::Duration PreferredWorkerLease = absl::Seconds(6);
   /// How long a finished job is kept, at least.
   absl::Duration Retention = absl::Seconds(120);
   /// Time between two readings of the workers' registrations.
--- a/libs/control/src/LeaderTaskImpl.cpp
+++ b/libs/control/src/LeaderTaskImpl.cpp
@@ -251,15 +251,17 @@
 }
 
 /// Records new workers before anything is started on them, so that the next
-/// leader knows where runs may be.
+/// leader knows where runs may be. Workers that are gone leave the record.
 void LeaderTask::Term::recordWorkers() {
-  std::set<WorkerId> Wanted = this->Recorded;
+  std::set<WorkerId> Wanted = this->Unknown;
   for (const auto &[Id, Driver] : this->Drivers)
     Wanted.insert(Id);
-  if (std::includes(this->RecordRequested.begin(), this->RecordRequested.end(),
-                    Wanted.begin(), Wanted.end()))
+  if (Wanted == this->RecordRequested)
     return;
   this->RecordRequested = Wanted;
+  // A worker that is left out may come back before the write is done.
+  std::erase_if(this->Recorded,
+                [&Wanted](const WorkerId &Id) { return !Wanted.contains(Id); });
   this->Writer->put(std::string(RecordKeys::Workers), encodeWorkers(Wanted),
                     [this, Wanted] {
                       this->Recorded = Wanted;
--- a/libs/control/src/WorkerDriver.cpp
+++ b/libs/control/src/WorkerDriver.cpp
@@ -82,9 +82,9 @@
   bool MayWait = this->HasReported && this->Target.hasRuns(this->Entry.Id);
   WorkerGateway::Renewal Request;
   Request.Fence = this->Target.fence();
-  // Runs that are not known yet must not be kept alive: another run of their
-  // tasks waits for the end of this lease.
-  if (this->HasEverReported)
+  // The lease of a worker that does not answer must run out: other runs of its
+  // tasks wait for that.
+  if (this->HasReported)
     Request.LeaseUntil = this->leaseUntil();
   // Repeating an old number could make a new incarnation, which counts from 1
   // again, forget ends that nobody has seen.
@@ -125,7 +125,6 @@
   }
   this->noteClock(Report.Clock);
   this->HasReported = true;
-  this->HasEverReported = true;
   this->Target.reported(this->Entry.Id, Report, AskedAt);
   this->pump();
 }
--- a/libs/control/src/WorkerDriver.h
+++ b/libs/control/src/WorkerDriver.h
@@ -93,7 +93,6 @@
   absl::Time ClockAt;
   absl::Time LeaseEndsBy;
   bool HasReported = false;
-  bool HasEverReported = false;
   bool IsRenewing = false;
   bool IsRetryPending = false;
   bool IsClosed = false;
--- a/libs/control/tests/LeaderTaskTest.cpp
+++ b/libs/control/tests/LeaderTaskTest.cpp
@@ -191,3 +191,32 @@
     EXPECT_EQ(Run.Worker, WorkerId("w3"));
   EXPECT_EQ(this->World.Farm.BegunRuns.size(), 4U);
 }
+
+// Renewals that are never answered must not keep the lease of a lost worker,
+// or its tasks would wait for ever.
+TEST_F(LeaderTaskTest, TasksOfAWorkerThatNeverAnswersRunElsewhere) {
+  this->World.Farm.Durations = [](const TaskKey &) {
+    return absl::Seconds(60);
+  };
+  this->World.submit(this->host("a"), Id, this->World.job(1, 8));
+  this->World.run(absl::Seconds(1));
+  WorkerId Lost = this->World.Farm.BegunRuns.at(0).Worker;
+  this->World.Farm.Faults = [Lost](const std::string &, const WorkerId &Id) {
+    return Id == Lost ? OrderFault::Drop : OrderFault::None;
+  };
+  this->World.Farm.setRegistered(Lost, false);
+  this->World.run(absl::Seconds(12));
+  EXPECT_EQ(this->World.Farm.BegunRuns.size(), 2U);
+}
+
+// A worker that has left long ago must not hold up the next leader.
+TEST_F(LeaderTaskTest, WorkersThatAreGoneLeaveTheRecord) {
+  this->World.submit(this->host("a"), Id, this->World.job(1, 1));
+  this->World.run(absl::Seconds(2));
+  EXPECT_NE(this->World.Store.value("vy/workers").find("w3"),
+            std::string::npos);
+  this->World.Farm.setRegistered(WorkerId("w3"), false);
+  this->World.run(absl::Seconds(10));
+  EXPECT_EQ(this->World.Store.value("vy/workers").find("w3"),
+            std::string::npos);
+}
--- a/libs/fleethost/include/fleethost/FleetHostOptions.h
+++ b/libs/fleethost/include/fleethost/FleetHostOptions.h
@@ -18,6 +18,8 @@
   /// Where metrics are served; empty for none.
   Endpoint MetricsAddress;
   LeaderTerms Terms;
+  /// Longest lease that workers grant. A longer one in Terms is shortened.
+  absl::Duration LongestWorkerLease = absl::Seconds(6);
   /// Share of a core that this host has. A stronger host stands for the
   /// leader's role earlier.
   double CpuShare = 1.0;
--- a/libs/fleethost/src/FleetHost.cpp
+++ b/libs/fleethost/src/FleetHost.cpp
@@ -27,11 +27,17 @@
 /// Largest request that is read at all, above every configured limit.
 static constexpr size_t MaxBodyBytes = 1 << 20;
 
+static FleetHostOptions withShortLease(FleetHostOptions Options) {
+  Options.Terms.WorkerLease =
+      std::min(Options.Terms.WorkerLease, Options.LongestWorkerLease);
+  return Options;
+}
+
 class FleetHost::Impl {
 public:
   Impl(const Ports &Links, FleetHostOptions Given, std::string Key,
        ConfigurationFeed::Decoder Decode)
-      : Links(Links), Options(std::move(Given)),
+      : Links(Links), Options(withShortLease(std::move(Given))),
         Feed(Links.Loop, Links.Store, Links.Events, std::move(Key),
              std::move(Decode)),
         Desk(Links.Loop, Links.Store, Links.Events),
