Count failed runs by their numbers, so that ends out of order count

A new leader heard of a task's second failure before its first, from two workers, and left the first out, as only the newest failed run number was kept.

Ruled out: a lost record (the rows were read back as written) and a stale write of the former leader (it is conditional on the leader's key).

Change: the numbers of the failed runs are kept, at most max-attempts of them.

Test, failing before: SchedulerTest.FailuresAreCountedInAnyOrder.

--- a/libs/fleet/include/fleet/TaskProgress.h
+++ b/libs/fleet/include/fleet/TaskProgress.h
@@ -3,17 +3,17 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace vanillayard {
 
 /// What is kept of a task across a change of the leader.
 struct TaskProgress {
   bool IsDone = false;
-  /// Runs that ended as failed. For a gang, kept in its first task.
-  int FailedRuns = 0;
-  /// Newest run that was counted in FailedRuns. Run numbers rise, so an end
-  /// that is reported twice is counted once.
-  int64_t LastFailedRun = 0;
+  /// Numbers of the runs that ended as failed; for a gang, kept in its first
+  /// task. An end may be reported twice, and the ends of several workers in
+  /// any order, so that neither a count nor the newest number is enough.
+  std::vector<int64_t> FailedRuns;
   /// Newest checkpoint; empty if there is none.
   std::string Checkpoint;
 
--- a/libs/fleet/src/JobProgressCodec.cpp
+++ b/libs/fleet/src/JobProgressCodec.cpp
@@ -26,14 +26,13 @@
               {"queue", Job.Queue}};
   if (!isFinal(Progress.State)) {
     Out["done"] = doneMap(Progress);
-    // Rows of position, failed runs, newest failed run and checkpoint.
+    // Rows of position, failed runs and checkpoint.
     Json Rows = Json::array();
     for (size_t I = 0; I < Progress.tasks().size(); ++I) {
       const TaskProgress &Task = Progress.tasks()[I];
-      bool HasMore = Task.FailedRuns > 0 || !Task.Checkpoint.empty();
+      bool HasMore = !Task.FailedRuns.empty() || !Task.Checkpoint.empty();
       if (!Task.IsDone && HasMore)
-        Rows.push_back(
-            {I, Task.FailedRuns, Task.LastFailedRun, Task.Checkpoint});
+        Rows.push_back({I, Task.FailedRuns, Task.Checkpoint});
     }
     if (!Rows.empty())
       Out["tasks"] = std::move(Rows);
@@ -68,9 +67,8 @@
     auto Position = Row.at(0).get<size_t>();
     if (Position >= Tasks.size())
       return unreadable("a task is out of range");
-    Tasks[Position].FailedRuns = Row.at(1).get<int>();
-    Tasks[Position].LastFailedRun = Row.at(2).get<int64_t>();
-    Tasks[Position].Checkpoint = Row.at(3).get<std::string>();
+    Tasks[Position].FailedRuns = Row.at(1).get<std::vector<int64_t>>();
+    Tasks[Position].Checkpoint = Row.at(2).get<std::string>();
   }
   return absl::OkStatus();
 }
--- a/libs/fleet/tests/JobProgressTest.cpp
+++ b/libs/fleet/tests/JobProgressTest.cpp
@@ -21,7 +21,7 @@
   JobProgress Progress(Job);
   Progress.State = BatchState::Running;
   Progress.task(0, 1, 2).IsDone = true;
-  Progress.task(1, 0, 1) = {false, 2, 77, "00000bb8"};
+  Progress.task(1, 0, 1) = {false, {70, 77}, "00000bb8"};
   JobProgress Read(Job);
   ASSERT_TRUE(decodeProgress(encodeProgress(Job, Progress), Read).ok());
   EXPECT_EQ(Read.State, BatchState::Running);
@@ -46,7 +46,7 @@
       decodeProgress(R"({"state":"running","queue":"q","done":"01"})", Progress)
           .ok());
   EXPECT_FALSE(
-      decodeProgress(R"({"state":"running","queue":"q","tasks":[[99,1,1,""]]})",
+      decodeProgress(R"({"state":"running","queue":"q","tasks":[[99,[1],""]]})",
                      Progress)
           .ok());
   EXPECT_FALSE(decodeSummary(R"({"state":"unheard-of","queue":"q"})").ok());
--- a/libs/scheduler/src/SchedulerReports.cpp
+++ b/libs/scheduler/src/SchedulerReports.cpp
@@ -124,23 +124,22 @@
 
 void Scheduler::Impl::applyFailure(JobEntry &Entry, WorkerState &Worker,
                                    const RunEnd &End, absl::Time Now) {
-  TaskProgress &Account = Entry.account(End.Task);
-  if (End.Run <= Account.LastFailedRun)
+  std::vector<int64_t> &Failed = Entry.account(End.Task).FailedRuns;
+  if (std::find(Failed.begin(), Failed.end(), End.Run) != Failed.end())
     return;
-  if (Account.FailedRuns == 0)
+  if (Failed.empty())
     this->noteWorkerFailure(Worker, Now);
-  Account.LastFailedRun = End.Run;
-  ++Account.FailedRuns;
+  Failed.push_back(End.Run);
   Entry.FailedOn[End.Task] = Worker.Entry.Id;
   Entry.IsDirty = true;
-  if (Account.FailedRuns < Entry.Job.MaxAttempts)
+  auto Failures = static_cast<int>(Failed.size());
+  if (Failures < Entry.Job.MaxAttempts)
     return;
   this->Jobs.finish(Entry, BatchState::Failed, Now);
   this->stopRunsOfJob(Entry);
   this->logJob(Entry, "job is over",
                fmt::format("task {} failed {} times, last on {}",
-                           nameOf(End.Task), Account.FailedRuns,
-                           Worker.Entry.Id.str()));
+                           nameOf(End.Task), Failures, Worker.Entry.Id.str()));
 }
 
 void Scheduler::Impl::applyEnd(WorkerState &Worker, const RunEnd &End,
--- a/libs/scheduler/tests/SchedulerTest.cpp
+++ b/libs/scheduler/tests/SchedulerTest.cpp
@@ -184,7 +184,7 @@
   Job.MaxAttempts = 2;
   JobProgress Progress(Job);
   Progress.State = BatchState::Running;
-  Progress.task(0, 0, 0) = {false, 1, 500, ""};
+  Progress.task(0, 0, 0) = {false, {500}, ""};
   Bench.Plan.addJob(Job, Progress, true, Bench.Exec.now());
   Bench.end(Worker.Id, {Job.Id, 0, 0, 0}, 500, RunOutcome::Failed);
   Bench.Plan.settle();
@@ -427,3 +427,19 @@
   ASSERT_EQ(Round.Stops.size(), 1U);
   EXPECT_EQ(Round.Stops[0].Task.Job, JobId("j2"));
 }
+
+// A new leader hears of the ends of several workers in any order. An older
+// failure that comes in later counts, too.
+TEST(SchedulerTest, FailuresAreCountedInAnyOrder) {
+  SchedulerBench Bench;
+  WorkerEntry First = Bench.addWorker("w1");
+  WorkerEntry Second = Bench.addWorker("w2");
+  BatchJob Job = Bench.job("j1", 1, 1);
+  Job.MaxAttempts = 2;
+  Bench.Plan.addJob(Job, JobProgress(Job), true, Bench.Exec.now());
+  TaskKey Task{Job.Id, 0, 0, 0};
+  Bench.end(Second.Id, Task, 8, RunOutcome::Failed);
+  Bench.end(First.Id, Task, 7, RunOutcome::Failed);
+  Bench.Plan.settle();
+  EXPECT_EQ(Bench.round().Starts.size(), 0U);
+}
