Answer too large headers, slow senders and oversized bodies as such

Cause: h2o answers unreadable headers with 400 as text by a raw write, closes a connection without an answer when a request does not arrive in time, and closes one with unread bytes after 413, so that the client may see a reset.

Ruled out: a filter for all three; h2o writes its 400 for unparsed headers without the filters. Larger limits in h2o only move the case.

Change: the server keeps a table of its connections. It checks headers before h2o's reader (431), answers senders that stop (408), and reads on for up to 2 s after a refusal. The platform's limits on headers and body are checked by CallerDesk before the body is parsed.

--- a/libs/control/include/control/CallerDesk.h
+++ b/libs/control/include/control/CallerDesk.h
@@ -50,8 +50,9 @@
   void waiting(const CallerIdentity &Caller, CountCallback Done);
 
   /// Checks what can be checked before the body is read: the queue, the key
-  /// and the size of the body.
-  absl::Status admit(const CallerIdentity &Caller, size_t BodyBytes) const;
+  /// and the sizes of headers and body.
+  absl::Status admit(const CallerIdentity &Caller, size_t HeaderBytes,
+                     size_t BodyBytes) const;
 
   /// The path is that of a queue and not of a job.
   bool namesQueue(const CallerIdentity &Caller) const;
--- a/libs/control/src/CallerDesk.cpp
+++ b/libs/control/src/CallerDesk.cpp
@@ -337,13 +337,16 @@
   return this->Implementation->Table != nullptr;
 }
 
-absl::Status CallerDesk::admit(const CallerIdentity &Caller,
+absl::Status CallerDesk::admit(const CallerIdentity &Caller, size_t HeaderBytes,
                                size_t BodyBytes) const {
   const Impl &I = *this->Implementation;
   absl::StatusOr<ResolvedCall> Resolved = I.resolveJob(Caller);
   if (!Resolved.ok())
     return Resolved.status();
-  if (BodyBytes > I.Table->configuration().MaxBodyBytes)
+  const FleetConfiguration &Limits = I.Table->configuration();
+  if (HeaderBytes > Limits.MaxHeaderBytes)
+    return makeError(ErrorKind::HeadersTooLarge, "the headers are too large");
+  if (BodyBytes > Limits.MaxBodyBytes)
     return makeError(ErrorKind::PayloadTooLarge, "the body is too large");
   return absl::OkStatus();
 }
--- a/libs/control/tests/CallerDeskTest.cpp
+++ b/libs/control/tests/CallerDeskTest.cpp
@@ -110,8 +110,10 @@
   EXPECT_FALSE(this->Desk.namesQueue(this->World.caller(Id)));
 }
 
-TEST_F(CallerDeskTest, LargeBodyIsRefusedBeforeItIsRead) {
-  EXPECT_TRUE(this->Desk.admit(this->World.caller(Id), 100).ok());
-  EXPECT_EQ(errorKindOf(this->Desk.admit(this->World.caller(Id), 1 << 19)),
+TEST_F(CallerDeskTest, LargeRequestIsRefusedBeforeItIsRead) {
+  EXPECT_TRUE(this->Desk.admit(this->World.caller(Id), 100, 100).ok());
+  EXPECT_EQ(errorKindOf(this->Desk.admit(this->World.caller(Id), 100, 1 << 19)),
             ErrorKind::PayloadTooLarge);
+  EXPECT_EQ(errorKindOf(this->Desk.admit(this->World.caller(Id), 1 << 15, 100)),
+            ErrorKind::HeadersTooLarge);
 }
--- a/libs/fleethost/src/FleetHost.cpp
+++ b/libs/fleethost/src/FleetHost.cpp
@@ -80,11 +80,14 @@
         HttpServer::Builder(this->Links.Loop)
             .address(Address)
             .maxBodyBytes(MaxBodyBytes)
+            .requestTimeout(FleetConfiguration().HeaderTimeout)
+            .idleTimeout(FleetConfiguration().IdleTimeout)
             .handler(std::move(Handler))
             .build();
-    if (Made.ok())
-      Server = *std::move(Made);
-    return Made.status();
+    if (!Made.ok())
+      return Made.status();
+    Server = *std::move(Made);
+    return absl::OkStatus();
   };
   absl::Status Status = Listen(Options.CallerAddress, MakeHandler(this->Desk),
                                this->CallerServer);
--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -36,7 +36,10 @@
     /// Most bytes of a request body; a larger one is answered with 413.
     /// Default 1 MiB.
     Builder &maxBodyBytes(size_t Value);
-    /// Time to receive a request, headers and body. Default 10 s.
+    /// Time that a connection without a request is kept open. Default 10 s.
+    Builder &idleTimeout(absl::Duration Value);
+    /// Time to receive a request, headers and body; a slower one is answered
+    /// with 408. Default 10 s.
     Builder &requestTimeout(absl::Duration Value);
     /// Errors: InvalidArgument for a bad address, Unavailable if the address
     /// cannot be bound.
@@ -49,6 +52,7 @@
     HttpHandler Handler;
     size_t MaxBodyBytes = 1 << 20;
     absl::Duration RequestTimeout = absl::Seconds(10);
+    absl::Duration IdleTimeout = absl::Seconds(10);
   };
 
   ~HttpServer();
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -1,7 +1,9 @@
 #include "net/HttpServer.h"
 
 #include "Address.h"
+#include "ConnectionTable.h"
 #include "H2oResponder.h"
+#include "RefusalFilter.h"
 #include "net/LoopExecutor.h"
 
 #include "absl/strings/str_cat.h"
@@ -13,6 +15,8 @@
 static constexpr int ListenBacklog = 1024;
 static constexpr absl::Duration ConnectionPollInterval =
     absl::Milliseconds(250);
+/// h2o's own timeout for a request comes this much later than the server's.
+static constexpr absl::Duration RequestTimeoutSlack = absl::Seconds(2);
 
 /// State that h2o points to. It is never freed: h2o keeps timers and open
 /// connections that refer to it until the process ends.
@@ -35,6 +39,7 @@
   bool IsShutDown = false;
   Executor::TimerId PollTimer = 0;
   std::list<std::weak_ptr<H2oResponder>> InProgress;
+  ConnectionTable Connections;
 };
 
 namespace {
@@ -47,12 +52,17 @@
 } // namespace
 
 HttpServer::Impl::Impl(LoopExecutor &Loop, const Builder &Options)
-    : Loop(Loop), Handler(Options.Handler) {
+    : Loop(Loop), Handler(Options.Handler),
+      Connections(Loop, Options.RequestTimeout) {
   h2o_config_init(&this->Config);
   this->Config.server_name = h2o_iovec_init(H2O_STRLIT("vanillayard"));
   this->Config.max_request_entity_size = Options.MaxBodyBytes;
+  // h2o closes a connection that waits for a request without an answer, so
+  // slow senders have to be found before that.
+  absl::Duration Silence = std::max(
+      Options.IdleTimeout, Options.RequestTimeout + RequestTimeoutSlack);
   this->Config.http1.req_timeout =
-      static_cast<uint64_t>(absl::ToInt64Milliseconds(Options.RequestTimeout));
+      static_cast<uint64_t>(absl::ToInt64Milliseconds(Silence));
   h2o_hostconf_t *Host = h2o_config_register_host(
       &this->Config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
   h2o_pathconf_t *Path = h2o_config_register_path(Host, "/", 0);
@@ -62,6 +72,7 @@
   Slot->Base.on_req = [](h2o_handler_t *Self, h2o_req_t *Request) {
     return reinterpret_cast<HandlerSlot *>(Self)->Server->handle(Request);
   };
+  addRefusalFilter(Host, ConnectionTable::refused);
   h2o_context_init(&this->Context, Loop.loop(), &this->Config);
   this->AcceptContext.ctx = &this->Context;
   this->AcceptContext.hosts = this->Config.hosts;
@@ -99,7 +110,9 @@
   uv_tcp_nodelay(Client, 1);
   h2o_socket_t *Socket =
       h2o_uv_socket_create(reinterpret_cast<uv_stream_t *>(Client), Free);
+  this->Connections.add(Socket);
   h2o_accept(&this->AcceptContext, Socket);
+  ConnectionTable::watch(Socket);
 }
 
 void HttpServer::Impl::close() {
@@ -143,6 +156,8 @@
     return 0;
   }
   this->InProgress.push_back(Responder);
+  ConnectionTable::requestBegan(
+      Request->conn->callbacks->get_socket(Request->conn), Responder);
   if (!this->PollTimer)
     this->PollTimer = this->Loop.runAfter(ConnectionPollInterval,
                                           [this] { this->pollConnections(); });
@@ -179,6 +194,11 @@
   return *this;
 }
 
+HttpServer::Builder &HttpServer::Builder::idleTimeout(absl::Duration Value) {
+  this->IdleTimeout = Value;
+  return *this;
+}
+
 HttpServer::Builder &HttpServer::Builder::requestTimeout(absl::Duration Value) {
   this->RequestTimeout = Value;
   return *this;
--- a/libs/scheduler/src/JobBook.cpp
+++ b/libs/scheduler/src/JobBook.cpp
@@ -20,7 +20,7 @@
   JobEntry &Entry = *Slot;
   int Occurrences = Entry.Job.occurrenceCount();
   auto StepCount = static_cast<int>(Entry.Job.Steps.size());
-  Entry.Steps.resize(static_cast<size_t>(Occurrences * StepCount));
+  Entry.Steps.resize(static_cast<size_t>(Occurrences) * Entry.Job.Steps.size());
   for (int K = 0; K < Occurrences; ++K) {
     for (int S = 0; S < StepCount; ++S) {
       StepEntry &Step = Entry.step(K, S);
--- a/libs/scheduler/src/SchedulerPlan.cpp
+++ b/libs/scheduler/src/SchedulerPlan.cpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <numeric>
 #include <tuple>
 
 namespace vanillayard {
@@ -128,9 +129,8 @@
                            Now,    Entry.Job.Priority == 0, Ready.IsGuaranteed};
   int Count = Request.spec().TaskCount;
   if (Request.spec().IsGang) {
-    std::vector<int> All;
-    for (int I = 0; I < Count; ++I)
-      All.push_back(I);
+    std::vector<int> All(static_cast<size_t>(Count));
+    std::iota(All.begin(), All.end(), 0);
     if (std::optional<RoomTrial> Trial = this->Search.findForGang(Request))
       this->reserve(Request, All, *Trial);
     return;
