--- a/libs/fleethost/include/fleethost/FleetHost.h
+++ b/libs/fleethost/include/fleethost/FleetHost.h
@@ -47,6 +47,11 @@
   /// Errors: InvalidArgument, Unavailable.
   absl::Status start(const HandlerFactory &MakeHandler);
 
+  /// Where callers and the load balancer reach it, with the real ports. Valid
+  /// after start().
+  Endpoint callerAddress() const;
+  Endpoint readyAddress() const;
+
   /// Ready for callers: there is a configuration and no shutdown.
   bool isReady() const;
 
--- a/libs/fleethost/src/FleetHost.cpp
+++ b/libs/fleethost/src/FleetHost.cpp
@@ -153,8 +153,8 @@
     return Status;
   I.Links.Events.info("host", "started",
                       {{"host", I.Options.Host},
-                       {"callers", I.Options.CallerAddress},
-                       {"ready", I.Options.ReadyAddress}});
+                       {"callers", this->callerAddress()},
+                       {"ready", this->readyAddress()}});
   I.Feed.start([&I](std::shared_ptr<const QueueTable> Newer) {
     I.Desk.configurationChanged(Newer);
     I.Leader.configurationChanged(std::move(Newer));
@@ -163,6 +163,14 @@
   return absl::OkStatus();
 }
 
+Endpoint FleetHost::callerAddress() const {
+  return this->Implementation->CallerServer->address();
+}
+
+Endpoint FleetHost::readyAddress() const {
+  return this->Implementation->ReadyServer->address();
+}
+
 bool FleetHost::isReady() const {
   const Impl &I = *this->Implementation;
   return I.Desk.hasConfiguration() && !I.IsShuttingDown;
--- a/libs/net/include/net/HttpMessage.h
+++ b/libs/net/include/net/HttpMessage.h
@@ -30,7 +30,7 @@
   /// Query without the question mark.
   std::string Query;
   /// Host name that the request is meant for, with its port if one was named.
-  /// Set for requests that were received.
+  /// A request that is sent without it names the address that it goes to.
   std::string Authority;
   HttpHeaders Headers;
   std::string Body;
--- a/libs/net/src/H2oHttpClient.cpp
+++ b/libs/net/src/H2oHttpClient.cpp
@@ -99,7 +99,8 @@
 static std::string requestText(const Endpoint &To, const HttpRequest &Request) {
   std::string Text = absl::StrCat(
       Request.Method, " ", Request.Path, Request.Query.empty() ? "" : "?",
-      Request.Query, " HTTP/1.1\r\nhost: ", To.str(), "\r\n");
+      Request.Query, " HTTP/1.1\r\nhost: ",
+      Request.Authority.empty() ? To.str() : Request.Authority, "\r\n");
   for (const auto &[Name, Value] : Request.Headers.fields())
     absl::StrAppend(&Text, Name, ": ", Value, "\r\n");
   if (!Request.Body.empty() || Request.Method != "GET")
--- /dev/null
+++ b/standins/fleet/src/Main.cpp
@@ -0,0 +1,86 @@
+#include "StoreService.h"
+#include "WorkerService.h"
+#include "control/testing/FakeCoordinationStore.h"
+#include "control/testing/FakeWorkerFarm.h"
+#include "net/HttpServer.h"
+#include "net/LoopExecutor.h"
+
+#include "absl/flags/flag.h"
+#include "absl/flags/parse.h"
+#include "absl/flags/usage.h"
+
+#include <csignal>
+#include <cstdio>
+#include <fmt/format.h>
+#include <memory>
+#include <vector>
+
+ABSL_FLAG(int, workers, 4, "number of workers, each with 8 accelerators");
+ABSL_FLAG(absl::Duration, task_time, absl::Milliseconds(300),
+          "run time of each task");
+
+using namespace vanillayard;
+
+/// Interval between two writes of a worker's registration.
+static constexpr absl::Duration Heartbeat = absl::Milliseconds(1500);
+static constexpr int WorkersPerRack = 4;
+static const Endpoint AnyPort("127.0.0.1:0");
+
+static void beat(LoopExecutor &Loop, FakeCoordinationStore &Store,
+                 FakeWorkerFarm &Farm) {
+  Farm.fetch([&Store](absl::StatusOr<std::vector<WorkerEntry>> Entries) {
+    for (const WorkerEntry &Entry : *Entries)
+      Store.put("servers/" + Entry.Id.str(), encodeRegistration(Entry));
+  });
+  Loop.runAfter(Heartbeat, [&Loop, &Store, &Farm] { beat(Loop, Store, Farm); });
+}
+
+static std::unique_ptr<HttpServer>
+serve(LoopExecutor &Loop, HttpHandler Handler, const std::string &Name) {
+  auto Server =
+      HttpServer::Builder(Loop).address(AnyPort).handler(Handler).build();
+  if (!Server.ok()) {
+    fmt::print(stderr, "standin-fleet: {}\n", Server.status().ToString());
+    return nullptr;
+  }
+  fmt::print("listening {} {}\n", (*Server)->address().str(), Name);
+  return *std::move(Server);
+}
+
+int main(int Argc, char **Argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  absl::SetProgramUsageMessage(
+      "stand-in for the users' platform: metadata store and workers");
+  absl::ParseCommandLine(Argc, Argv);
+  LoopExecutor Loop;
+  FakeCoordinationStore Store(Loop);
+  FakeWorkerFarm Farm(Loop);
+  Farm.Durations = [](const TaskKey &) {
+    return absl::GetFlag(FLAGS_task_time);
+  };
+  std::vector<std::unique_ptr<HttpServer>> Servers;
+  Servers.push_back(serve(Loop, makeStoreHandler(Store, Farm), "store"));
+  for (int I = 0; I < absl::GetFlag(FLAGS_workers); ++I) {
+    WorkerEntry Entry;
+    Entry.Id = WorkerId(fmt::format("w{}", I));
+    Entry.DataCentre = DataCentreId("dc1");
+    Entry.Rack = RackId(fmt::format("r{}", I / WorkersPerRack));
+    Entry.Service = "pool";
+    Entry.Capacity = {128000, 262144, 8};
+    Entry.Labels = {"a", Entry.Rack.str()};
+    Servers.push_back(
+        serve(Loop, makeWorkerHandler(Farm, Entry.Id), Entry.Id.str()));
+    if (!Servers.back())
+      return EXIT_FAILURE;
+    Entry.Address = Servers.back()->address();
+    Farm.add(Entry);
+  }
+  if (!Servers.front())
+    return EXIT_FAILURE;
+  std::fflush(stdout);
+  beat(Loop, Store, Farm);
+  for (int Signal : {SIGINT, SIGTERM})
+    Loop.onSignal(Signal, [&] { Loop.stop(); });
+  Loop.run();
+  return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/tests/system/src/FleetTest.cpp
@@ -0,0 +1,74 @@
+#include "testing/FleetCluster.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+using namespace vanillayard;
+
+static const std::string Id = "5c0e7a21d94b36f8";
+
+/// Hosts of the users' platform as real processes over its stand-in.
+class FleetTest : public testing::Test {
+protected:
+  void start(absl::Duration TaskTime) {
+    auto Started = FleetCluster::start(3, 4, TaskTime);
+    ASSERT_TRUE(Started.ok()) << Started.status();
+    this->Cluster = *std::move(Started);
+  }
+  void TearDown() override { this->Cluster.reset(); }
+
+  std::unique_ptr<FleetCluster> Cluster;
+};
+
+// Guards against a part of the path that only works against fakes.
+TEST_F(FleetTest, JobIsServedFromEndToEnd) {
+  this->start(absl::Milliseconds(300));
+  ASSERT_FALSE(this->HasFatalFailure());
+  EXPECT_EQ(this->Cluster->submit(0, Id, 5, 2).Status, 200);
+  EXPECT_EQ(this->Cluster->submit(1, Id, 5, 2).Status, 200);
+  EXPECT_TRUE(this->Cluster->waitForState(2, Id, "done"));
+  EXPECT_EQ(this->Cluster->begunRuns(), 5);
+  EXPECT_EQ(this->Cluster->call(0, "GET", "00000000000000aa").Status, 410);
+  EXPECT_EQ(this->Cluster->call(1, "GET", "").Body, R"({"waiting":0})");
+  EXPECT_EQ(this->Cluster->call(0, "POST", Id, "no json").Status, 400);
+}
+
+// Guards against tasks that run twice, or stop, when the leader dies.
+TEST_F(FleetTest, KilledLeaderIsReplacedWhileTasksRun) {
+  this->start(absl::Seconds(5));
+  ASSERT_FALSE(this->HasFatalFailure());
+  size_t First = this->Cluster->leader();
+  ASSERT_LT(First, this->Cluster->hostCount());
+  size_t Other = (First + 1) % this->Cluster->hostCount();
+  EXPECT_EQ(this->Cluster->submit(Other, Id, 6, 2).Status, 200);
+  EXPECT_TRUE(this->Cluster->waitForState(Other, Id, "running"));
+  this->Cluster->process(First).kill();
+  EXPECT_TRUE(this->Cluster->waitForState(Other, Id, "done"));
+  EXPECT_EQ(this->Cluster->begunRuns(), 6);
+  EXPECT_NE(this->Cluster->leader(), First);
+}
+
+// Guards against a planned stop that cuts callers off or keeps the role.
+TEST_F(FleetTest, TerminatedHostLeavesInOrder) {
+  this->start(absl::Milliseconds(300));
+  ASSERT_FALSE(this->HasFatalFailure());
+  size_t First = this->Cluster->leader();
+  ASSERT_LT(First, this->Cluster->hostCount());
+  size_t Other = (First + 1) % this->Cluster->hostCount();
+  this->Cluster->process(First).terminate();
+  EXPECT_EQ(this->Cluster->submit(Other, Id, 2, 2).Status, 200);
+  EXPECT_TRUE(this->Cluster->waitForState(Other, Id, "done"));
+  absl::StatusOr<int> Exit = this->Cluster->process(First).waitForExit();
+  EXPECT_EQ(Exit.value_or(-1), 0);
+}
+
+// Guards against a cancelled job whose tasks go on.
+TEST_F(FleetTest, CancelledJobIsStopped) {
+  this->start(absl::Seconds(30));
+  ASSERT_FALSE(this->HasFatalFailure());
+  EXPECT_EQ(this->Cluster->submit(0, Id, 3, 8).Status, 200);
+  EXPECT_TRUE(this->Cluster->waitForState(1, Id, "running"));
+  EXPECT_EQ(this->Cluster->call(2, "DELETE", Id).Status, 200);
+  EXPECT_TRUE(this->Cluster->waitForState(1, Id, "cancelled"));
+}
