Leave room for urgent arrivals instead of stopping runs for them

Change: less urgent work leaves as many accelerators free as urgent work has asked for in 2 s at its recent rate, at most a quarter of the service.

Test: HeadroomSparesMostStops plays one minute of load against the baseline without headroom; the stops fall to less than a quarter.

--- a/libs/fleet/include/fleet/BatchJob.h
+++ b/libs/fleet/include/fleet/BatchJob.h
@@ -43,6 +43,8 @@
   absl::Time dueTime(int Occurrence) const;
   /// Estimated time of the longest chain of steps, without waiting.
   absl::Duration longestChain() const;
+  /// Accelerators that the widest step needs at once.
+  int64_t widestStep() const;
 };
 
 /// Largest job that is accepted. They bound the memory that one job takes and
--- a/libs/fleet/src/BatchJob.cpp
+++ b/libs/fleet/src/BatchJob.cpp
@@ -27,6 +27,13 @@
   return Longest;
 }
 
+int64_t BatchJob::widestStep() const {
+  int64_t Widest = 0;
+  for (const BatchStep &Step : this->Steps)
+    Widest = std::max(Widest, Step.PerTask.Accelerators * Step.TaskCount);
+  return Widest;
+}
+
 static absl::Status invalid(const std::string &Detail) {
   return makeError(ErrorKind::InvalidRequest, Detail);
 }
--- a/libs/scheduler/include/scheduler/SchedulerTerms.h
+++ b/libs/scheduler/include/scheduler/SchedulerTerms.h
@@ -15,6 +15,10 @@
   /// Factor of the run time away from the data's rack, or of a gang that is
   /// spread over racks.
   double RemoteFactor = 3.0;
+  /// Room that less urgent work leaves free, as the time for which urgent work
+  /// arriving at its recent rate finds room without stopping anything. Zero
+  /// lets other work fill the fleet.
+  absl::Duration UrgentHeadroom = absl::Seconds(2);
 };
 
 } // namespace vanillayard
--- a/libs/scheduler/src/JobBook.cpp
+++ b/libs/scheduler/src/JobBook.cpp
@@ -4,13 +4,6 @@
 
 namespace vanillayard {
 
-static int64_t widestStep(const BatchJob &Job) {
-  int64_t Widest = 0;
-  for (const BatchStep &Step : Job.Steps)
-    Widest = std::max(Widest, Step.PerTask.Accelerators * Step.TaskCount);
-  return Widest;
-}
-
 JobEntry &JobBook::add(BatchJob Job, JobProgress Progress, absl::Time Now) {
   JobId Id = Job.Id;
   std::unique_ptr<JobEntry> &Slot = this->Jobs[Id];
@@ -32,7 +25,7 @@
     this->refreshReadiness(Entry, K, Now);
   }
   if (Entry.Job.Priority == 0 && !isFinal(Entry.Progress.State))
-    this->UrgentDemand[Entry.Job.Account] += widestStep(Entry.Job);
+    this->UrgentDemand[Entry.Job.Account] += Entry.Job.widestStep();
   return Entry;
 }
 
@@ -88,7 +81,7 @@
   Entry.IsDirty = true;
   Entry.FinishedAt = Now;
   if (Entry.Job.Priority == 0)
-    this->UrgentDemand[Entry.Job.Account] -= widestStep(Entry.Job);
+    this->UrgentDemand[Entry.Job.Account] -= Entry.Job.widestStep();
 }
 
 int64_t JobBook::urgentDemand(const ClientAccountId &Account) const {
--- a/libs/scheduler/src/Scheduler.cpp
+++ b/libs/scheduler/src/Scheduler.cpp
@@ -25,6 +25,9 @@
     return;
   JobEntry &Entry = I.Jobs.add(std::move(Job), std::move(Progress), Now);
   Entry.AwaitsReports = MayHaveRuns && !I.HasSettled;
+  if (Entry.Job.Priority == 0)
+    I.UrgentArrivals[Entry.Job.Service].add(
+        static_cast<double>(Entry.Job.widestStep()), Now);
   I.logJob(Entry, "job is known", MayHaveRuns ? "taken over" : "submitted");
 }
 
--- a/libs/scheduler/src/SchedulerImpl.h
+++ b/libs/scheduler/src/SchedulerImpl.h
@@ -1,6 +1,7 @@
 #ifndef VANILLAYARD_SCHEDULER_SCHEDULERIMPL_H
 #define VANILLAYARD_SCHEDULER_SCHEDULERIMPL_H
 
+#include "ArrivalRate.h"
 #include "FleetBook.h"
 #include "JobBook.h"
 #include "PlacementSearch.h"
@@ -38,6 +39,7 @@
   // SchedulerPlan.cpp: what to do.
   struct ReadyStep;
   std::vector<ReadyStep> readySteps(absl::Time Now);
+  bool leavesHeadroom(const PlacementRequest &Request, int Tasks) const;
   void placeStep(const ReadyStep &Ready, absl::Time Now);
   void reserve(const PlacementRequest &Request, const std::vector<int> &Indexes,
                const RoomTrial &Trial);
@@ -61,6 +63,8 @@
   JobBook Jobs;
   PlacementSearch Search;
   std::vector<ReservedGroup> Reserved;
+  /// Accelerators that urgent jobs ask for, by service.
+  absl::flat_hash_map<std::string, ArrivalRate> UrgentArrivals;
   /// Runs that no job accounts for, to be stopped where they were seen.
   std::vector<StopOrder> StrayStops;
   absl::flat_hash_map<WorkerId, int64_t> LastEnds;
--- a/libs/scheduler/src/SchedulerPlan.cpp
+++ b/libs/scheduler/src/SchedulerPlan.cpp
@@ -18,6 +18,11 @@
 /// no use to its caller any more. From the platform's terms of service.
 static constexpr double UsefulObjectives = 3.0;
 
+/// Largest share of a service's accelerators that is kept free for urgent work.
+/// It stays below the half of a service that the platform expects to be used
+/// while jobs wait.
+static constexpr double LargestHeadroomShare = 0.25;
+
 /// How much a job can still win; lower values go first.
 enum class Prospect { OnTime, Late, TooLate };
 
@@ -123,6 +128,33 @@
   this->Reserved.push_back(std::move(Group));
 }
 
+/// Stopping a run for urgent work takes time that urgent work does not have,
+/// and loses what the run has not saved. So less urgent work leaves as much
+/// room free as urgent work is likely to ask for soon, up to a share of the
+/// service's room.
+bool Scheduler::Impl::leavesHeadroom(const PlacementRequest &Request,
+                                     int Tasks) const {
+  const std::string &Service = Request.Entry->Job.Service;
+  auto Found = this->UrgentArrivals.find(Service);
+  if (Request.Entry->Job.Priority == 0 || Found == this->UrgentArrivals.end())
+    return true;
+  int64_t Free = 0;
+  int64_t Capacity = 0;
+  for (const WorkerState *Worker : this->Fleet.workers()) {
+    if (Worker->Entry.Service != Service || !Worker->IsUsable ||
+        Worker->Entry.IsDraining)
+      continue;
+    Free += std::max<int64_t>(Worker->free().Accelerators, 0);
+    Capacity += Worker->Entry.Capacity.Accelerators;
+  }
+  double Headroom =
+      std::min(Found->second.perSecond(Request.Now) *
+                   absl::ToDoubleSeconds(this->Terms.UrgentHeadroom),
+               LargestHeadroomShare * static_cast<double>(Capacity));
+  int64_t Need = Request.spec().PerTask.Accelerators * Tasks;
+  return static_cast<double>(Free - Need) >= Headroom;
+}
+
 void Scheduler::Impl::placeStep(const ReadyStep &Ready, absl::Time Now) {
   JobEntry &Entry = *Ready.Entry;
   PlacementRequest Request{&Entry, Ready.Occurrence,        Ready.Step,
@@ -131,6 +163,8 @@
   if (Request.spec().IsGang) {
     std::vector<int> All(static_cast<size_t>(Count));
     std::iota(All.begin(), All.end(), 0);
+    if (!this->leavesHeadroom(Request, Count))
+      return;
     if (std::optional<RoomTrial> Trial = this->Search.findForGang(Request))
       this->reserve(Request, All, *Trial);
     return;
@@ -141,6 +175,8 @@
         !this->Fleet.runOf(Request.key(I));
     if (!IsWaiting)
       continue;
+    if (!this->leavesHeadroom(Request, 1))
+      return;
     std::optional<RoomTrial> Trial = this->Search.findForTask(Request, I);
     // The tasks of a step are equal, so the next one does not fit either.
     if (!Trial)
--- a/libs/scheduler/tests/SchedulerTest.cpp
+++ b/libs/scheduler/tests/SchedulerTest.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <set>
 
 using namespace vanillayard;
@@ -443,3 +444,43 @@
   Bench.Plan.settle();
   EXPECT_EQ(Bench.round().Starts.size(), 0U);
 }
+
+/// Plays a minute of small jobs that would fill the fleet and of urgent ones
+/// that come each half second, and returns the runs that were stopped.
+static size_t stopsUnderLoad(absl::Duration UrgentHeadroom) {
+  SchedulerTerms Terms;
+  Terms.UrgentHeadroom = UrgentHeadroom;
+  SchedulerBench Bench(Terms);
+  for (int I = 0; I < 6; ++I)
+    Bench.addWorker("w" + std::to_string(I));
+  size_t Stops = 0;
+  std::multimap<absl::Time, StartOrder> Ends;
+  for (int Tick = 0; Tick < 600; ++Tick) {
+    absl::Time Now = Bench.Exec.now();
+    if (Tick % 5 == 0)
+      Bench.add(Bench.job("a" + std::to_string(Tick), 1, 4, 0));
+    if (Tick % 10 == 0)
+      Bench.add(Bench.job("b" + std::to_string(Tick), 10, 1, 2));
+    while (!Ends.empty() && Ends.begin()->first <= Now) {
+      Bench.end(Ends.begin()->second, RunOutcome::Done);
+      Ends.erase(Ends.begin());
+    }
+    Orders Round = Bench.round();
+    Stops += Round.Stops.size();
+    for (const StopOrder &Order : Round.Stops)
+      Bench.end(Order.Worker, Order.Task, Order.Run, RunOutcome::Stopped);
+    for (const StartOrder &Order : Round.Starts)
+      Ends.emplace(Now + absl::Seconds(3), Order);
+    Bench.Exec.advance(absl::Milliseconds(100));
+  }
+  return Stops;
+}
+
+// Urgent work that always has to stop other runs starts late, and the stopped
+// work is lost. The baseline lets other work fill the fleet.
+TEST(SchedulerTest, HeadroomSparesMostStops) {
+  size_t Baseline = stopsUnderLoad(absl::ZeroDuration());
+  size_t WithHeadroom = stopsUnderLoad(SchedulerTerms().UrgentHeadroom);
+  EXPECT_GT(Baseline, 20U);
+  EXPECT_LT(WithHeadroom, Baseline / 4);
+}
