Begin watches at the store's revision, so that a short history causes no flood

After 410 the key was read and watched again from its own revision, which is older than the history for any key that is seldom written: 250 calls a second and host.

Ruled out: relisting of the job records; its watch goes on from the listing's revision.

Change: a read of a key tells the store's revision, and the watch begins there.

Tests, failing before with 2,500 calls in 10 s: ConfigurationFeedTest and LeaderRoleTest, ShortHistoryCausesNoFlood.

--- a/libs/control/src/ConfigurationFeed.cpp
+++ b/libs/control/src/ConfigurationFeed.cpp
@@ -65,7 +65,9 @@
         if (!Result->has_value())
           return Self->retry();
         Self->take(**Result);
-        Self->watch((*Result)->Revision);
+        // Not from the item's own revision, which may be older than the
+        // history that the store still has.
+        Self->watch((*Result)->StoreRevision);
       });
 }
 
--- a/libs/control/src/LeaderRole.cpp
+++ b/libs/control/src/LeaderRole.cpp
@@ -78,7 +78,7 @@
         if (!Result.ok())
           Self->later(RetryDelay, &Impl::observe);
         else if (Result->has_value())
-          Self->follow((*Result)->Revision);
+          Self->follow((*Result)->StoreRevision);
         else
           Self->later(Self->Options.CandidateDelay, &Impl::campaign);
       });
--- a/libs/control/src/testing/FakeCoordinationStore.cpp
+++ b/libs/control/src/testing/FakeCoordinationStore.cpp
@@ -132,7 +132,7 @@
         Result->Revision = this->Revision;
         for (const auto &[Key, Item] : this->Items)
           if (Key.starts_with(Prefix))
-            Result->Items.push_back({Key, Item.Value, Item.Revision});
+            Result->Items.push_back({Key, Item.Value, Item.Revision, 0});
       },
       [Done, Result] { Done(*Result); }, [Done] { Done(refused()); });
 }
@@ -176,7 +176,7 @@
     bool IsThere = Found != this->Items.end();
     if (IsThere)
       Out.Found.push_back(
-          {Condition.Key, Found->second.Value, Found->second.Revision});
+          {Condition.Key, Found->second.Value, Found->second.Revision, 0});
     if ((IsThere ? Found->second.Revision : 0) != Condition.Revision)
       Out.IsApplied = false;
   }
--- a/libs/control/tests/ConfigurationFeedTest.cpp
+++ b/libs/control/tests/ConfigurationFeedTest.cpp
@@ -80,3 +80,14 @@
   this->Exec.advance(absl::Seconds(3));
   EXPECT_EQ(this->Feed.current()->configuration().Version, 6);
 }
+
+// A key that was changed before the history began must not be asked for in a
+// loop without pause.
+TEST_F(ConfigurationFeedTest, ShortHistoryCausesNoFlood) {
+  this->Store.put("configuration", "3");
+  this->Store.put("other", "x");
+  this->Store.compact();
+  this->Exec.advance(absl::Seconds(10));
+  EXPECT_EQ(this->Feed.current()->configuration().Version, 3);
+  EXPECT_LT(this->Store.Calls["get"] + this->Store.Calls["watch"], 30);
+}
--- a/libs/control/tests/LeaderRoleTest.cpp
+++ b/libs/control/tests/LeaderRoleTest.cpp
@@ -118,3 +118,18 @@
   ASSERT_EQ(A.Fences.size(), 2U);
   EXPECT_GT(A.Fences[1], A.Fences[0]);
 }
+
+// The leader's key is old as a rule; following it must not flood the store.
+TEST_F(LeaderRoleTest, ShortHistoryCausesNoFlood) {
+  Candidate A, B;
+  auto RoleA = this->make(A, "a");
+  RoleA->start();
+  this->World.run(absl::Seconds(1));
+  this->World.Store.put("other", "x");
+  this->World.Store.compact();
+  auto RoleB = this->make(B, "b");
+  RoleB->start();
+  this->World.run(absl::Seconds(10));
+  EXPECT_LT(this->World.Store.Calls["get"] + this->World.Store.Calls["watch"],
+            30);
+}
--- a/libs/store/include/store/StoreItem.h
+++ b/libs/store/include/store/StoreItem.h
@@ -12,6 +12,9 @@
   std::string Value;
   /// Revision of the key's last change.
   int64_t Revision = 0;
+  /// Revision of the store when the item was read by its key, where a watch
+  /// can begin; 0 if the item comes from elsewhere.
+  int64_t StoreRevision = 0;
 };
 
 } // namespace vanillayard
--- a/standins/fleet/src/StoreService.cpp
+++ b/standins/fleet/src/StoreService.cpp
@@ -55,8 +55,11 @@
                 answer(Responder, statusOf(Item.status()));
               else if (!Item->has_value())
                 answer(Responder, 404);
-              else
-                answer(Responder, 200, encodeItem(**Item));
+              else {
+                Json Body = encodeItem(**Item);
+                Body["current-rev"] = (*Item)->StoreRevision;
+                answer(Responder, 200, Body);
+              }
             });
 }
 
