--- a/libs/control/src/testing/FakeCoordinationStore.cpp
+++ b/libs/control/src/testing/FakeCoordinationStore.cpp
@@ -119,7 +119,8 @@
       [this, Key, Result] {
         auto Found = this->Items.find(Key);
         if (Found != this->Items.end())
-          *Result = StoreItem{Key, Found->second.Value, Found->second.Revision};
+          *Result = StoreItem{Key, Found->second.Value, Found->second.Revision,
+                              this->Revision};
       },
       [Done, Result] { Done(*Result); }, [Done] { Done(refused()); });
 }
