Keep a worker's clock from being set back by an old registration

An answer to a caller that came after its deadline was also logged twice.

Ruled out: the role's allowance (confirmed 0.4 s before) and a new incarnation.

Change: a reading counts only if it is ahead of what the last one implies.

Test, failing before: LeaderTaskTest.StaleRegistrationDoesNotSetTheClockBack.

--- a/libs/control/include/control/testing/FakeWorkerFarm.h
+++ b/libs/control/include/control/testing/FakeWorkerFarm.h
@@ -56,6 +56,8 @@
   absl::Duration LateBy = absl::Seconds(2);
   absl::Duration MaxLease = absl::Seconds(6);
   absl::Duration StopTime = absl::Milliseconds(200);
+  /// How long ago the registrations were written.
+  absl::Duration RegistrationAge = absl::ZeroDuration();
   absl::Duration GangTimeout = absl::Seconds(3);
   /// Chooses the fault of each order: renew, start or stop.
   std::function<Fault(const std::string &Call, const WorkerId &Worker)> Faults;
--- a/libs/control/src/CallerDesk.cpp
+++ b/libs/control/src/CallerDesk.cpp
@@ -41,6 +41,8 @@
   absl::Time GiveUpAt;
   /// An earlier try may have had an effect.
   bool MayHaveRun = false;
+  /// The caller has its answer; what comes later is of no use to it.
+  std::shared_ptr<bool> IsAnswered = std::make_shared<bool>(false);
 };
 
 /// A call whose queue and account are known.
@@ -158,6 +160,7 @@
     absl::Status Unknown = makeError(ErrorKind::OutcomeUnknown,
                                      "the store has not answered in time");
     Self->log(Try, "no answer in time", Unknown);
+    *Try.IsAnswered = true;
     Late(Unknown);
   });
   return [Take](auto Answer) {
@@ -170,6 +173,8 @@
 CallerDesk::Impl::retry(Attempt &Try, const absl::Status &Error,
                         std::function<void(Attempt)> Again) {
   absl::Time Now = this->Exec.now();
+  if (*Try.IsAnswered)
+    return Error;
   bool IsUnavailable = errorKindOf(Error) == ErrorKind::PlatformUnavailable;
   Try.MayHaveRun |= !IsUnavailable;
   absl::Time GiveUpAt = Try.GiveUpAt;
--- a/libs/control/src/WorkerDriver.cpp
+++ b/libs/control/src/WorkerDriver.cpp
@@ -21,8 +21,10 @@
 
 void WorkerDriver::noteClock(absl::Duration Reading) {
   absl::Time Now = this->Exec.now();
-  // A reading from before may have come in later.
-  if (Reading < this->Clock)
+  // A registration may have been written long ago. What is known already says
+  // more then.
+  absl::Duration AtLeast = this->Clock + (Now - this->ClockAt) * SlowestClock;
+  if (Reading < AtLeast)
     return;
   this->Clock = Reading;
   this->ClockAt = Now;
--- a/libs/control/src/testing/FakeWorkerFarm.cpp
+++ b/libs/control/src/testing/FakeWorkerFarm.cpp
@@ -349,7 +349,8 @@
     if (!W.IsRegistered)
       continue;
     Entries.push_back(W.Entry);
-    Entries.back().Clock = this->clock(W);
+    Entries.back().Clock =
+        std::max(this->clock(W) - this->RegistrationAge, absl::ZeroDuration());
   }
   this->Exec.runAfter(this->Latency,
                       [Done = std::move(Done), Entries = std::move(Entries)] {
--- a/libs/control/tests/LeaderTaskTest.cpp
+++ b/libs/control/tests/LeaderTaskTest.cpp
@@ -220,3 +220,18 @@
   EXPECT_EQ(this->World.Store.value("vy/workers").find("w3"),
             std::string::npos);
 }
+
+// A registration that was written long ago must not set the view of a worker's
+// clock back: the worker would refuse starts as too late.
+TEST_F(LeaderTaskTest, StaleRegistrationDoesNotSetTheClockBack) {
+  this->World.submit(this->host("a"), Id, this->World.job(4, 8));
+  this->World.run(absl::Seconds(3));
+  ASSERT_EQ(this->World.Farm.BegunRuns.size(), 4U);
+  this->World.Farm.RegistrationAge = absl::Seconds(20);
+  this->World.run(absl::Seconds(30));
+  this->World.submit(this->host("a"), "00000000000000aa",
+                     this->World.job(4, 8));
+  this->World.run(absl::Seconds(3));
+  EXPECT_EQ(this->World.Farm.BegunRuns.size(), 8U);
+  EXPECT_EQ(this->World.Farm.Calls["start"], 8);
+}
