--- a/libs/control/src/LeaderRole.cpp
+++ b/libs/control/src/LeaderRole.cpp
@@ -110,6 +110,7 @@
 void LeaderRole::Impl::campaign() {
   this->Current = Phase::Campaigning;
   uint64_t Expected = ++this->Turn;
+  this->Options.Events.info("role", "the role is vacant, this host stands", {});
   absl::Duration SentAt = this->Options.Clock.now();
   std::weak_ptr<Impl> Weak = this->weak_from_this();
   this->Options.Store.grantLease(
@@ -144,6 +145,8 @@
                                     int64_t NewLease, absl::Duration SentAt) {
   if (!Result.ok()) {
     // The claim may still be carried out. If so, its lease ends it soon.
+    this->Options.Events.info("role", "claim was not decided",
+                              {{"error", Result.status()}});
     this->later(RetryDelay, &Impl::observe);
     return;
   }
--- a/libs/fleet/src/BatchJobCodec.cpp
+++ b/libs/fleet/src/BatchJobCodec.cpp
@@ -64,7 +64,7 @@
               {"stretch", Job.Stretch},
               {"target_ms", absl::ToInt64Milliseconds(Job.TargetLatency)},
               {"submitted_ms", absl::ToUnixMillis(Job.Submitted)},
-              {"specification", Job.Specification},
+              {"task_input", Job.Specification},
               {"steps", std::move(Steps)}};
   if (Job.Schedule.Count > 0)
     Out["schedule"] = {
@@ -85,7 +85,7 @@
   Job.Stretch = In.at("stretch").get<double>();
   Job.TargetLatency = absl::Milliseconds(In.at("target_ms").get<int64_t>());
   Job.Submitted = absl::FromUnixMillis(In.at("submitted_ms").get<int64_t>());
-  Job.Specification = In.at("specification").get<std::string>();
+  Job.Specification = In.at("task_input").get<std::string>();
   for (const Json &Step : In.at("steps"))
     Job.Steps.push_back(decodeStep(Step));
   if (auto Found = In.find("schedule"); Found != In.end()) {
