--- a/libs/control/src/LeaderTaskImpl.cpp
+++ b/libs/control/src/LeaderTaskImpl.cpp
@@ -1,10 +1,8 @@
 #include "LeaderTaskImpl.h"
 
-#include "WorkersRecord.h"
 #include "base/ErrorKind.h"
 #include "control/LeaderRole.h"
 #include "control/RecordKeys.h"
-#include "control/WorkerDirectory.h"
 #include "fleet/BatchJobCodec.h"
 #include "fleet/JobProgressCodec.h"
 #include "fleet/QueueTable.h"
@@ -13,8 +11,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
-
 namespace vanillayard {
 
 /// Events are collected for this long before a round of planning.
@@ -30,10 +26,6 @@
 /// Run numbers of one leader begin at its fencing token times this; a leader
 /// starts fewer runs than that in its term.
 static constexpr int64_t RunsPerTerm = int64_t(1) << 20;
-/// Workers' clocks run at least this fast. From the platform's protocol.
-static constexpr double SlowestClock = 0.98;
-/// Time for an earlier leader's last orders to reach a worker.
-static constexpr absl::Duration OrderDelay = absl::Seconds(1);
 /// Records of finished jobs are kept this much longer than promised.
 static constexpr absl::Duration RetentionSlack = absl::Seconds(30);
 /// Most finished jobs deleted in one tick.
@@ -189,106 +181,6 @@
       });
 }
 
-void LeaderTask::Term::pollWorkers() {
-  this->Links.Exec.runAfter(
-      this->Terms.RegistrationPoll, [Weak = this->weak_from_this()] {
-        std::shared_ptr<Term> Self = Weak.lock();
-        if (!Self || Self->IsEnded)
-          return;
-        Self->Links.Directory.fetch(
-            [Weak](absl::StatusOr<std::vector<WorkerEntry>> Result) {
-              std::shared_ptr<Term> Again = Weak.lock();
-              if (!Again || Again->IsEnded)
-                return;
-              if (Result.ok())
-                Again->takeWorkers(*Result);
-              else
-                Again->Links.Events.warning("leader",
-                                            "registrations could not be read",
-                                            {{"error", Result.status()}});
-              Again->pollWorkers();
-            });
-      });
-}
-
-void LeaderTask::Term::addDriver(const WorkerEntry &Entry) {
-  // An earlier leader may have given a lease to a recorded worker.
-  bool MayHoldRuns = this->Unknown.contains(Entry.Id);
-  absl::Time LeaseEndsBy = this->now();
-  if (MayHoldRuns)
-    LeaseEndsBy =
-        this->BeganAt + this->Terms.WorkerLease / SlowestClock + OrderDelay;
-  this->Drivers.emplace(Entry.Id, std::make_shared<WorkerDriver>(
-                                      this->Links.Exec, this->Links.Gateway,
-                                      *this, Entry, LeaseEndsBy));
-}
-
-void LeaderTask::Term::takeWorkers(const std::vector<WorkerEntry> &Entries) {
-  absl::flat_hash_set<WorkerId> Seen;
-  for (const WorkerEntry &Entry : Entries) {
-    Seen.insert(Entry.Id);
-    if (!this->Registered.contains(Entry.Id))
-      this->Links.Events.info("leader", "worker is registered",
-                              {{"worker", Entry.Id},
-                               {"incarnation", Entry.Incarnation},
-                               {"rack", Entry.Rack},
-                               {"draining", Entry.IsDraining}});
-    this->Plan.updateWorker(Entry);
-    if (!this->Drivers.contains(Entry.Id))
-      this->addDriver(Entry);
-  }
-  for (const WorkerId &Id : this->Registered)
-    if (!Seen.contains(Id))
-      this->Links.Events.info("leader", "worker is not registered any more",
-                              {{"worker", Id}});
-  this->Registered = std::move(Seen);
-  this->recordWorkers();
-  for (const WorkerEntry &Entry : Entries)
-    this->Drivers.at(Entry.Id)->update(Entry);
-  for (const auto &[Id, Driver] : this->Drivers)
-    this->refreshUsable(Id);
-  this->requestPlan();
-}
-
-/// Records new workers before anything is started on them, so that the next
-/// leader knows where runs may be. Workers that are gone leave the record.
-void LeaderTask::Term::recordWorkers() {
-  std::set<WorkerId> Wanted = this->Unknown;
-  for (const auto &[Id, Driver] : this->Drivers)
-    Wanted.insert(Id);
-  if (Wanted == this->RecordRequested)
-    return;
-  this->RecordRequested = Wanted;
-  // A worker that is left out may come back before the write is done.
-  std::erase_if(this->Recorded,
-                [&Wanted](const WorkerId &Id) { return !Wanted.contains(Id); });
-  this->Writer->put(std::string(RecordKeys::Workers), encodeWorkers(Wanted),
-                    [this, Wanted] {
-                      this->Recorded = Wanted;
-                      for (const auto &[Id, Driver] : this->Drivers)
-                        this->refreshUsable(Id);
-                      this->requestPlan();
-                    });
-}
-
-void LeaderTask::Term::refreshUsable(const WorkerId &Worker) {
-  const WorkerDriver &Driver = *this->Drivers.at(Worker);
-  this->Plan.setUsable(Worker, this->Registered.contains(Worker) &&
-                                   this->Recorded.contains(Worker) &&
-                                   Driver.hasReported());
-}
-
-void LeaderTask::Term::settleIfKnown() {
-  if (this->HasSettled || !this->IsServing || !this->Unknown.empty())
-    return;
-  this->HasSettled = true;
-  this->Links.Events.info(
-      "leader", "all runs of earlier leaders are known",
-      {{"fence", this->Fence}, {"after", this->now() - this->BeganAt}});
-  this->Plan.settle();
-  this->requestPlan();
-}
-
 absl::Duration LeaderTask::Term::leaseAllowance() const {
   return this->Links.Role.leaseAllowance(this->Terms.WorkerLease);
 }
@@ -297,37 +189,6 @@
   return this->Plan.runsOn(Worker) > 0;
 }
 
-void LeaderTask::Term::reported(const WorkerId &Worker,
-                                const WorkerReport &Report,
-                                absl::Time AskedAt) {
-  this->Plan.reportReceived(Worker, Report, AskedAt, this->now());
-  this->Drivers.at(Worker)->endsTaken(this->Plan.lastEnd(Worker));
-  this->Unknown.erase(Worker);
-  this->settleIfKnown();
-  this->refreshUsable(Worker);
-  if (this->Plan.hasChanges() || !Report.Ends.empty())
-    this->Writer->request();
-  this->requestPlan();
-}
-
-void LeaderTask::Term::runsLost(const WorkerId &Worker) {
-  this->Plan.loseRuns(Worker);
-  this->Unknown.erase(Worker);
-  this->settleIfKnown();
-  this->refreshUsable(Worker);
-  this->Writer->request();
-  this->requestPlan();
-}
-
-void LeaderTask::Term::restarted(const WorkerId &Worker) {
-  this->Plan.workerRestarted(Worker);
-  this->refreshUsable(Worker);
-}
-
-void LeaderTask::Term::suspected(const WorkerId &Worker) {
-  this->refreshUsable(Worker);
-}
-
 void LeaderTask::Term::startAnswered(const StartOrder &Order,
                                      OrderAnswer Answer) {
   this->Plan.startAnswered(Order, Answer, this->now());
@@ -415,31 +276,12 @@
 void LeaderTask::Term::housekeep() {
   if (this->IsEnded)
     return;
-  absl::Time Now = this->now();
   for (const auto &[Id, Driver] : this->Drivers) {
     Driver->checkLease();
     Driver->pump();
   }
-  absl::Time EarlierLeasesEnd =
-      this->BeganAt + this->Terms.WorkerLease / SlowestClock + OrderDelay;
-  std::erase_if(this->Unknown, [&](const WorkerId &Id) {
-    auto Found = this->Drivers.find(Id);
-    absl::Time Ends = Found == this->Drivers.end()
-                          ? EarlierLeasesEnd
-                          : Found->second->leaseEndsBy();
-    return Now >= Ends;
-  });
-  this->settleIfKnown();
-  std::erase_if(this->Drivers, [&](const auto &Entry) {
-    const auto &[Id, Driver] = Entry;
-    bool IsGone = !this->Registered.contains(Id) && !this->hasRuns(Id) &&
-                  Now >= Driver->leaseEndsBy();
-    if (!IsGone)
-      return false;
-    Driver->close();
-    this->Plan.removeWorker(Id);
-    return true;
-  });
+  this->dropExpiredUnknown();
+  this->dropGoneWorkers();
   this->removeExpiredJobs();
   if (this->Plan.hasWaitingWork())
     this->plan();
--- a/libs/control/src/LeaderTaskImpl.h
+++ b/libs/control/src/LeaderTaskImpl.h
@@ -61,16 +61,22 @@
   void written(const ProgressChange &Change) override;
 
 private:
-  void take(LoadedRecords Records);
-  void takeJobItem(const StoreItem &Item);
-  void watchJobs(int64_t Revision);
-  void relistJobs();
+  // LeaderTaskWorkers.cpp: the workers that are driven.
   void pollWorkers();
   void takeWorkers(const std::vector<WorkerEntry> &Entries);
   void recordWorkers();
   void addDriver(const WorkerEntry &Entry);
   void refreshUsable(const WorkerId &Worker);
   void settleIfKnown();
+  absl::Time earlierLeasesEnd() const;
+  void dropExpiredUnknown();
+  void dropGoneWorkers();
+
+  // LeaderTaskImpl.cpp: jobs, planning and records.
+  void take(LoadedRecords Records);
+  void takeJobItem(const StoreItem &Item);
+  void watchJobs(int64_t Revision);
+  void relistJobs();
   void housekeep();
   void publishWaiting();
   void removeExpiredJobs();
--- a/libs/control/src/WorkerDriver.cpp
+++ b/libs/control/src/WorkerDriver.cpp
@@ -1,5 +1,7 @@
 #include "WorkerDriver.h"
 
+#include "WorkerClock.h"
+
 #include <algorithm>
 
 namespace vanillayard {
@@ -10,8 +12,6 @@
 static constexpr absl::Duration CallTimeout = absl::Milliseconds(1000);
 /// Pause after a renewal that failed.
 static constexpr absl::Duration RetryDelay = absl::Milliseconds(300);
-/// A worker's clock runs at least this fast. From the platform's protocol.
-static constexpr double SlowestClock = 0.98;
 
 WorkerDriver::WorkerDriver(Executor &Exec, WorkerGateway &Gateway,
                            Owner &Target, const WorkerEntry &Entry,
@@ -23,7 +23,8 @@
   absl::Time Now = this->Exec.now();
   // A registration may have been written long ago. What is known already says
   // more then.
-  absl::Duration AtLeast = this->Clock + (Now - this->ClockAt) * SlowestClock;
+  absl::Duration AtLeast =
+      this->Clock + (Now - this->ClockAt) * SlowestWorkerClock;
   if (Reading < AtLeast)
     return;
   this->Clock = Reading;
@@ -37,8 +38,9 @@
   this->Entry.Incarnation = Incarnation;
   this->Clock = absl::ZeroDuration();
   this->ClockAt = Now;
-  this->LeaseEndsBy = std::max(
-      this->LeaseEndsBy, Now + this->Target.leaseAllowance() / SlowestClock);
+  this->LeaseEndsBy =
+      std::max(this->LeaseEndsBy,
+               Now + this->Target.leaseAllowance() / SlowestWorkerClock);
   this->HasReported = false;
   this->TakenEnd = 0;
   this->RecordedEnd = 0;
@@ -63,7 +65,8 @@
   absl::Time Now = this->Exec.now();
   absl::Duration Allowed = this->Target.leaseAllowance();
   absl::Duration Until = this->Clock + (Now - this->ClockAt) + Allowed;
-  absl::Time EndsBy = this->ClockAt + (Until - this->Clock) / SlowestClock;
+  absl::Time EndsBy =
+      this->ClockAt + (Until - this->Clock) / SlowestWorkerClock;
   this->LeaseEndsBy = std::max(this->LeaseEndsBy, EndsBy);
   return Until;
 }
--- a/libs/fleet/include/fleet/BatchJob.h
+++ b/libs/fleet/include/fleet/BatchJob.h
@@ -57,7 +57,8 @@
 };
 
 /// Checks what does not depend on the fleet: counts, sizes and references
-/// between steps. Error: InvalidRequest.
+/// between steps. Errors: InvalidRequest; Unsupported for kinds of steps that
+/// are not served yet.
 absl::Status validate(const BatchJob &Job);
 
 } // namespace vanillayard
--- a/libs/fleet/include/fleet/BatchStep.h
+++ b/libs/fleet/include/fleet/BatchStep.h
@@ -31,6 +31,10 @@
   RackId DataRack;
   /// Most tasks of the step and occurrence on one worker; 0 for no limit.
   int MaxPerWorker = 0;
+  /// The tasks run until the job is cancelled. Not served yet.
+  bool IsLongRunning = false;
+  /// The tasks use only capacity that others leave idle. Not served yet.
+  bool UsesIdleCapacity = false;
   /// Several copies of a task may run; the first to finish counts.
   bool AllowsDuplicates = false;
 };
--- a/libs/fleet/src/BatchJob.cpp
+++ b/libs/fleet/src/BatchJob.cpp
@@ -48,6 +48,10 @@
     return invalid(Name + ": a resource is negative");
   if (Step.Estimate < absl::ZeroDuration() || Step.MaxPerWorker < 0)
     return invalid(Name + ": the estimate or a limit is negative");
+  if (Step.IsLongRunning || Step.UsesIdleCapacity)
+    return makeError(ErrorKind::Unsupported,
+                     Name + ": long-running tasks and tasks on idle capacity "
+                            "are not served");
   for (int Earlier : Step.After)
     if (Earlier < 0 || static_cast<size_t>(Earlier) >= Position)
       return invalid(Name + ": waits for a step that is not before it");
--- a/libs/fleet/tests/BatchJobTest.cpp
+++ b/libs/fleet/tests/BatchJobTest.cpp
@@ -106,3 +106,13 @@
         BadJob{"specification",
                [](BatchJob &J) { J.Specification.assign(4001, 'x'); }}),
     [](const auto &Info) { return std::string(Info.param.Name); });
+
+// Accepting what cannot be run would leave the caller waiting for ever.
+TEST(BatchJobTest, StepsThatAreNotServedAreRefused) {
+  BatchJob Job = sampleJob();
+  Job.Steps[1].IsLongRunning = true;
+  EXPECT_EQ(errorKindOf(validate(Job)), ErrorKind::Unsupported);
+  Job = sampleJob();
+  Job.Steps[0].UsesIdleCapacity = true;
+  EXPECT_EQ(errorKindOf(validate(Job)), ErrorKind::Unsupported);
+}
--- a/libs/scheduler/tests/SchedulerTest.cpp
+++ b/libs/scheduler/tests/SchedulerTest.cpp
@@ -236,21 +236,29 @@
   EXPECT_EQ(Next.Starts[0].Task.Job, JobId("j0"));
 }
 
-TEST(SchedulerTest, GuaranteedWorkReclaimsFromUrgentBorrowers) {
-  SchedulerBench Bench;
-  Bench.addWorker("w1");
+static const ClientAccountId Owner("owner");
+
+/// Guarantees 8 accelerators to the owner, and lets another account's urgent
+/// job use them.
+static void startBorrower(SchedulerBench &Bench) {
   FleetConfiguration Configuration;
-  AccountTerms Owner;
-  Owner.Id = ClientAccountId("owner");
-  Owner.GuaranteedAccelerators = 8;
-  Configuration.Accounts = {Owner};
+  AccountTerms Terms;
+  Terms.Id = Owner;
+  Terms.GuaranteedAccelerators = 8;
+  Configuration.Accounts = {Terms};
   Bench.Plan.setConfiguration(Configuration);
   BatchJob Borrowing = Bench.job("j1", 1, 8, 0);
   Borrowing.Account = ClientAccountId("borrower");
   Bench.add(Borrowing);
   ASSERT_EQ(Bench.round().Starts.size(), 1U);
+}
+
+TEST(SchedulerTest, GuaranteedWorkReclaimsFromUrgentBorrowers) {
+  SchedulerBench Bench;
+  Bench.addWorker("w1");
+  startBorrower(Bench);
   BatchJob Owned = Bench.job("j2", 1, 8, 0);
-  Owned.Account = Owner.Id;
+  Owned.Account = Owner;
   Bench.add(Owned);
   EXPECT_EQ(Bench.round().Stops.size(), 1U);
 }
@@ -411,18 +419,9 @@
   ASSERT_EQ(Bench.round().Starts.size(), 1U);
   Bench.Exec.advance(absl::Seconds(20));
   Bench.addWorker("w2");
-  FleetConfiguration Configuration;
-  AccountTerms Owner;
-  Owner.Id = ClientAccountId("owner");
-  Owner.GuaranteedAccelerators = 8;
-  Configuration.Accounts = {Owner};
-  Bench.Plan.setConfiguration(Configuration);
-  BatchJob Borrowing = Bench.job("j1", 1, 8, 0);
-  Borrowing.Account = ClientAccountId("borrower");
-  Bench.add(Borrowing);
-  ASSERT_EQ(Bench.round().Starts.size(), 1U);
+  startBorrower(Bench);
   BatchJob Owned = Bench.job("j0", 1, 8, 0);
-  Owned.Account = Owner.Id;
+  Owned.Account = Owner;
   Bench.add(Owned);
   Orders Round = Bench.round();
   ASSERT_EQ(Round.Stops.size(), 1U);
