--- a/libs/control/include/control/CallerDesk.h
+++ b/libs/control/include/control/CallerDesk.h
@@ -25,6 +25,12 @@
 /// A job is accepted once its record is in the store. A call without an answer
 /// from the store is tried again until the call's time is over, and then ends
 /// as OutcomeUnknown: the caller may come again with the same id.
+///
+/// Errors of all calls: NotReady before the first configuration, NotFound
+/// without such a queue, Unauthenticated for an unknown key, Gone for a job
+/// that does not exist, PlatformUnavailable, OutcomeUnknown. submit() also
+/// gives InvalidRequest, Unsupported, and Conflict for an id that belongs to
+/// another account's job.
 class CallerDesk {
 public:
   using DoneCallback = std::function<void(absl::Status)>;
@@ -37,10 +43,6 @@
   void configurationChanged(std::shared_ptr<const QueueTable> Newer);
   bool hasConfiguration() const;
 
-  /// Errors of all calls: NotReady before the first configuration, NotFound
-  /// without such a queue, Unauthenticated for an unknown key,
-  /// PlatformUnavailable, OutcomeUnknown. A job that does not exist is Gone.
-
   /// \param Draft the job as the caller describes it; its id and the terms of
   ///        the queue are filled in.
   void submit(const CallerIdentity &Caller, BatchJob Draft, DoneCallback Done);
--- a/libs/control/include/control/LeaderRole.h
+++ b/libs/control/include/control/LeaderRole.h
@@ -69,8 +69,10 @@
 
   ~LeaderRole();
 
+  /// Follows the holder of the role, or stands for it.
   void start();
 
+  /// The role is held, confirmed or not.
   bool isLeader() const;
   /// The role is confirmed: no other host can hold it at this moment.
   bool mayStart() const;
--- a/libs/control/include/control/testing/FakeWorkerFarm.h
+++ b/libs/control/include/control/testing/FakeWorkerFarm.h
@@ -58,7 +58,6 @@
   absl::Duration StopTime = absl::Milliseconds(200);
   /// How long ago the registrations were written.
   absl::Duration RegistrationAge = absl::ZeroDuration();
-  absl::Duration GangTimeout = absl::Seconds(3);
   /// Chooses the fault of each order: renew, start or stop.
   std::function<Fault(const std::string &Call, const WorkerId &Worker)> Faults;
   /// Run time of a task; its outcome is Done unless Outcomes says otherwise.
@@ -99,10 +98,6 @@
 private:
   struct Run {
     int64_t Number = 0;
-    absl::Time Began;
-    absl::Time EndsAt;
-    RunOutcome Outcome = RunOutcome::Done;
-    bool IsWorking = false;
   };
   struct Worker {
     WorkerEntry Entry;
--- a/libs/control/src/testing/FakeWorkerFarm.cpp
+++ b/libs/control/src/testing/FakeWorkerFarm.cpp
@@ -297,7 +297,7 @@
           ++this->Overcommitted;
           return Answer(OrderAnswer::NoRoom);
         }
-        W.Runs[Order.Task] = {Order.Run, this->Exec.now(), {}, {}, false};
+        W.Runs[Order.Task] = {Order.Run};
         this->BegunRuns.push_back(
             {Order.Task, Order.Run, Id, this->Exec.now(), Order.Checkpoint});
         if (this->GangSizes && this->GangSizes(Order.Task) > 1) {
