--- a/tools/fleetdemo/main.cpp
+++ b/tools/fleetdemo/main.cpp
@@ -1,6 +1,7 @@
 #include "testing/FleetCluster.h"
 
 #include <csignal>
+#include <cstdint>
 #include <cstdlib>
 #include <fmt/format.h>
 
@@ -9,7 +10,7 @@
 static constexpr int Hosts = 3;
 static constexpr int Workers = 6;
 static constexpr int Jobs = 8;
-static constexpr int TasksPerJob = 4;
+static constexpr int64_t TasksPerJob = 4;
 static constexpr int AcceleratorsPerTask = 2;
 static constexpr absl::Duration TaskTime = absl::Milliseconds(1500);
 
@@ -23,8 +24,10 @@
   int Faults = 0;
   for (int I = 0; I < Jobs; ++I) {
     auto Host = static_cast<size_t>(I % Hosts);
-    int Status =
-        Cluster.submit(Host, jobId(I), TasksPerJob, AcceleratorsPerTask).Status;
+    int Status = Cluster
+                     .submit(Host, jobId(I), static_cast<int>(TasksPerJob),
+                             AcceleratorsPerTask)
+                     .Status;
     fmt::print("job {} submitted to host {}: {}\n", jobId(I), Host + 1, Status);
     Faults += Status == 200 ? 0 : 1;
   }
