Reach the store through another host when it turns one away

Ruled out: forwarding callers' requests only. The leader's renewals, its progress records and the configuration need the store as well; one relay below all of them is smaller than three ways around.

Change: libs/storerelay. A call without an answer is never repeated there.

--- a/libs/control/include/control/RecordKeys.h
+++ b/libs/control/include/control/RecordKeys.h
@@ -19,6 +19,7 @@
 /// | vy/progress/ID   | state and progress; created with the job | leader |
 /// | vy/workers       | workers that may hold runs           | leader |
 /// | vy/waiting       | jobs that have not started, by queue | leader |
+/// | vy/host/NAME     | where other hosts reach the host, under its lease | host |
 class RecordKeys {
 public:
   static constexpr std::string_view Leader = "vy/leader";
@@ -26,10 +27,12 @@
   static constexpr std::string_view ProgressPrefix = "vy/progress/";
   static constexpr std::string_view Workers = "vy/workers";
   static constexpr std::string_view Waiting = "vy/waiting";
+  static constexpr std::string_view HostPrefix = "vy/host/";
 
   static std::string job(const JobId &Id);
   static std::string cancel(const JobId &Id);
   static std::string progress(const JobId &Id);
+  static std::string host(const HostId &Host);
 
   /// What a key below JobPrefix stands for.
   struct JobKey {
--- a/libs/control/src/RecordKeys.cpp
+++ b/libs/control/src/RecordKeys.cpp
@@ -4,7 +4,8 @@
 
 static constexpr std::string_view CancelSuffix = "/cancel";
 
-static std::string join(std::string_view Prefix, const JobId &Id,
+template <typename IdType>
+static std::string join(std::string_view Prefix, const IdType &Id,
                         std::string_view Suffix = "") {
   std::string Key(Prefix);
   Key += Id.str();
@@ -24,6 +25,10 @@
   return join(ProgressPrefix, Id);
 }
 
+std::string RecordKeys::host(const HostId &Host) {
+  return join(HostPrefix, Host);
+}
+
 std::optional<RecordKeys::JobKey>
 RecordKeys::parseJobKey(std::string_view Key) {
   if (!Key.starts_with(JobPrefix))
--- a/libs/fleethost/include/fleethost/FleetHostOptions.h
+++ b/libs/fleethost/include/fleethost/FleetHostOptions.h
@@ -17,6 +17,8 @@
   Endpoint ReadyAddress;
   /// Where metrics are served; empty for none.
   Endpoint MetricsAddress;
+  /// Where other hosts reach this one; empty if there is no such address.
+  Endpoint PeerAddress;
   LeaderTerms Terms;
   /// Longest lease that workers grant. A longer one in Terms is shortened.
   absl::Duration LongestWorkerLease = absl::Seconds(6);
--- /dev/null
+++ b/libs/storerelay/src/RelayServer.cpp
@@ -0,0 +1,213 @@
+#include "RelayServer.h"
+
+#include "base/ErrorKind.h"
+#include "net/FramedListener.h"
+#include "net/LoopExecutor.h"
+#include "store/CoordinationStore.h"
+#include "storerelay/RelayCodec.h"
+
+#include <map>
+#include <utility>
+
+namespace vanillayard {
+
+using ReplyCallback = std::function<void(StoreReply)>;
+
+static void getFor(CoordinationStore &Store, const StoreCall &Call,
+                   ReplyCallback Done) {
+  Store.get(Call.Key, [Done = std::move(Done)](
+                          absl::StatusOr<std::optional<StoreItem>> Result) {
+    StoreReply Reply;
+    Reply.Status = Result.status();
+    if (Result.ok() && Result->has_value())
+      Reply.Items.push_back({**std::move(Result), false});
+    Done(std::move(Reply));
+  });
+}
+
+static void listFor(CoordinationStore &Store, const StoreCall &Call,
+                    ReplyCallback Done) {
+  Store.list(Call.Key,
+             [Done = std::move(Done)](absl::StatusOr<StoreListing> Result) {
+               StoreReply Reply;
+               Reply.Status = Result.status();
+               if (Result.ok()) {
+                 Reply.Revision = Result->Revision;
+                 for (StoreItem &Item : Result->Items)
+                   Reply.Items.push_back({std::move(Item), false});
+               }
+               Done(std::move(Reply));
+             });
+}
+
+static void awaitChangesFor(CoordinationStore &Store, const StoreCall &Call,
+                            ReplyCallback Done) {
+  Store.awaitChanges(
+      Call.Key, Call.Revision, Call.Time,
+      [Done = std::move(Done)](absl::StatusOr<StoreChanges> Result) {
+        StoreReply Reply;
+        Reply.Status = Result.status();
+        if (Result.ok()) {
+          Reply.Revision = Result->Revision;
+          Reply.IsHistoryLost = Result->IsHistoryLost;
+          Reply.Items = std::move(Result->Changes);
+        }
+        Done(std::move(Reply));
+      });
+}
+
+static void commitFor(CoordinationStore &Store, const StoreCall &Call,
+                      ReplyCallback Done) {
+  Store.commit(Call.Transaction,
+               [Done = std::move(Done)](absl::StatusOr<StoreCommit> Result) {
+                 StoreReply Reply;
+                 Reply.Status = Result.status();
+                 if (Result.ok()) {
+                   Reply.IsApplied = Result->IsApplied;
+                   Reply.Revision = Result->Revision;
+                   for (StoreItem &Item : Result->Found)
+                     Reply.Items.push_back({std::move(Item), false});
+                 }
+                 Done(std::move(Reply));
+               });
+}
+
+static void grantLeaseFor(CoordinationStore &Store, const StoreCall &Call,
+                          ReplyCallback Done) {
+  Store.grantLease(Call.Time,
+                   [Done = std::move(Done)](absl::StatusOr<int64_t> Result) {
+                     StoreReply Reply;
+                     Reply.Status = Result.status();
+                     Reply.Lease = Result.ok() ? *Result : 0;
+                     Done(std::move(Reply));
+                   });
+}
+
+static void callStore(CoordinationStore &Store, const StoreCall &Call,
+                      ReplyCallback Done) {
+  auto Finish = [Done](absl::Status Result) {
+    StoreReply Reply;
+    Reply.Status = std::move(Result);
+    Done(std::move(Reply));
+  };
+  switch (Call.Operation) {
+  case StoreOperation::Get:
+    return getFor(Store, Call, std::move(Done));
+  case StoreOperation::List:
+    return listFor(Store, Call, std::move(Done));
+  case StoreOperation::AwaitChanges:
+    return awaitChangesFor(Store, Call, std::move(Done));
+  case StoreOperation::Commit:
+    return commitFor(Store, Call, std::move(Done));
+  case StoreOperation::GrantLease:
+    return grantLeaseFor(Store, Call, std::move(Done));
+  case StoreOperation::KeepLease:
+    return Store.keepLease(Call.Lease, Finish);
+  case StoreOperation::EndLease:
+    return Store.endLease(Call.Lease, Finish);
+  }
+}
+
+class RelayServer::Impl
+    : public std::enable_shared_from_this<RelayServer::Impl> {
+public:
+  Impl(LoopExecutor &Loop, CoordinationStore &Direct)
+      : Loop(Loop), Direct(Direct) {}
+
+  void accepted(std::unique_ptr<FramedLink> Link);
+
+  LoopExecutor &Loop;
+  CoordinationStore &Direct;
+  std::unique_ptr<FramedListener> Listener;
+
+private:
+  void received(uint64_t Link, const std::string &Message);
+  void reply(uint64_t Link, const StoreReply &Reply);
+
+  std::map<uint64_t, std::unique_ptr<FramedLink>> Links;
+  uint64_t NextLink = 1;
+  size_t CallsInProgress = 0;
+};
+
+void RelayServer::Impl::accepted(std::unique_ptr<FramedLink> Link) {
+  uint64_t Id = this->NextLink++;
+  FramedLink &Added = *(this->Links[Id] = std::move(Link));
+  std::weak_ptr<Impl> Weak = this->weak_from_this();
+  Added.onEvents(
+      [Weak, Id](const std::string &Message) {
+        if (std::shared_ptr<Impl> Self = Weak.lock())
+          Self->received(Id, Message);
+      },
+      [Weak, Id](const absl::Status &) {
+        if (std::shared_ptr<Impl> Self = Weak.lock())
+          Self->Links.erase(Id);
+      });
+}
+
+void RelayServer::Impl::received(uint64_t Link, const std::string &Message) {
+  absl::StatusOr<StoreCall> Call = RelayCodec::decodeCall(Message);
+  if (!Call.ok()) {
+    this->Links.erase(Link);
+    return;
+  }
+  if (this->CallsInProgress >= MaxCalls) {
+    StoreReply Refusal;
+    Refusal.Id = Call->Id;
+    Refusal.Status = makeError(ErrorKind::PlatformUnavailable,
+                               "this host makes too many calls for others");
+    return this->reply(Link, Refusal);
+  }
+  ++this->CallsInProgress;
+  callStore(
+      this->Direct, *Call,
+      [Weak = this->weak_from_this(), Link, Id = Call->Id](StoreReply Reply) {
+        std::shared_ptr<Impl> Self = Weak.lock();
+        if (!Self)
+          return;
+        --Self->CallsInProgress;
+        Reply.Id = Id;
+        Self->reply(Link, Reply);
+      });
+}
+
+void RelayServer::Impl::reply(uint64_t Link, const StoreReply &Reply) {
+  auto Found = this->Links.find(Link);
+  if (Found == this->Links.end())
+    return;
+  absl::StatusOr<std::string> Message = RelayCodec::encode(Reply);
+  if (!Message.ok()) {
+    StoreReply Failure;
+    Failure.Id = Reply.Id;
+    Failure.Status = makeError(ErrorKind::OutcomeUnknown,
+                               std::string(Message.status().message()));
+    Message = RelayCodec::encode(Failure);
+  }
+  // The asking host gives a call up that has no reply.
+  if (!Message.ok() || !Found->second->send(*Message).ok())
+    this->Links.erase(Found);
+}
+
+RelayServer::RelayServer(LoopExecutor &Loop, CoordinationStore &Direct)
+    : Implementation(std::make_shared<Impl>(Loop, Direct)) {}
+
+RelayServer::~RelayServer() = default;
+
+absl::Status RelayServer::listen(const Endpoint &Address) {
+  Impl &I = *this->Implementation;
+  absl::StatusOr<std::unique_ptr<FramedListener>> Listener = listenFramed(
+      I.Loop, Address,
+      [Weak = I.weak_from_this()](std::unique_ptr<FramedLink> Link) {
+        if (std::shared_ptr<Impl> Self = Weak.lock())
+          Self->accepted(std::move(Link));
+      });
+  if (!Listener.ok())
+    return Listener.status();
+  I.Listener = *std::move(Listener);
+  return absl::OkStatus();
+}
+
+Endpoint RelayServer::address() const {
+  return this->Implementation->Listener->address();
+}
+
+} // namespace vanillayard
--- /dev/null
+++ b/libs/storerelay/tests/RelayCodecTest.cpp
@@ -0,0 +1,71 @@
+#include "storerelay/RelayCodec.h"
+
+#include "base/ErrorKind.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace vanillayard;
+
+TEST(RelayCodecTest, CallsKeepAllMembers) {
+  StoreCall Call;
+  Call.Id = 7;
+  Call.Operation = StoreOperation::Commit;
+  Call.Transaction.Expected = {{"a", 0}, {"b", 12}};
+  Call.Transaction.Puts = {{"a", std::string("\0\xff", 2), 5}, {"b", "", 0}};
+  Call.Transaction.Removes = {"c"};
+  auto Bytes = RelayCodec::encode(Call);
+  ASSERT_TRUE(Bytes.ok());
+  auto Read = RelayCodec::decodeCall(*Bytes);
+  ASSERT_TRUE(Read.ok());
+  EXPECT_EQ(Read->Id, 7);
+  EXPECT_EQ(Read->Operation, StoreOperation::Commit);
+  ASSERT_EQ(Read->Transaction.Expected.size(), 2U);
+  EXPECT_EQ(Read->Transaction.Expected[1].Key, "b");
+  EXPECT_EQ(Read->Transaction.Expected[1].Revision, 12);
+  ASSERT_EQ(Read->Transaction.Puts.size(), 2U);
+  EXPECT_EQ(Read->Transaction.Puts[0].Value, std::string("\0\xff", 2));
+  EXPECT_EQ(Read->Transaction.Puts[0].Lease, 5);
+  EXPECT_EQ(Read->Transaction.Removes, std::vector<std::string>{"c"});
+}
+
+TEST(RelayCodecTest, RepliesKeepAllMembers) {
+  StoreReply Reply;
+  Reply.Id = 9;
+  Reply.IsApplied = true;
+  Reply.Revision = 33;
+  Reply.Lease = 4;
+  Reply.Items = {{{"k", "v", 31, 33}, false}, {{"gone", "", 32, 0}, true}};
+  auto Bytes = RelayCodec::encode(Reply);
+  ASSERT_TRUE(Bytes.ok());
+  auto Read = RelayCodec::decodeReply(*Bytes);
+  ASSERT_TRUE(Read.ok());
+  EXPECT_TRUE(Read->Status.ok());
+  EXPECT_TRUE(Read->IsApplied);
+  EXPECT_EQ(Read->Revision, 33);
+  EXPECT_EQ(Read->Lease, 4);
+  ASSERT_EQ(Read->Items.size(), 2U);
+  EXPECT_EQ(Read->Items[0].Item.StoreRevision, 33);
+  EXPECT_TRUE(Read->Items[1].IsDeleted);
+}
+
+// Guards against a lost answer that is taken for a refusal by the asking host.
+TEST(RelayCodecTest, ErrorsKeepTheirKind) {
+  for (const ErrorAnswer &Row : errorKindTable()) {
+    StoreReply Reply;
+    Reply.Status = makeError(Row.Kind, "why");
+    auto Bytes = RelayCodec::encode(Reply);
+    ASSERT_TRUE(Bytes.ok());
+    auto Read = RelayCodec::decodeReply(*Bytes);
+    ASSERT_TRUE(Read.ok());
+    EXPECT_EQ(errorKindOf(Read->Status), Row.Kind);
+  }
+}
+
+// Guards against a process that ends over bytes from a stranger.
+RC_GTEST_PROP(RelayCodecTest, AnyBytesAreAnswered, (const std::string &Bytes)) {
+  auto Call = RelayCodec::decodeCall(Bytes);
+  auto Reply = RelayCodec::decodeReply(Bytes);
+  RC_ASSERT(Call.ok() || !Call.status().message().empty());
+  RC_ASSERT(Reply.ok() || !Reply.status().message().empty());
+}
--- /dev/null
+++ b/libs/storerelay/tests/RelayedStoreTest.cpp
@@ -0,0 +1,154 @@
+#include "storerelay/RelayedStore.h"
+
+#include "FakePeers.h"
+#include "RefusingStore.h"
+#include "base/BootClock.h"
+#include "base/VirtualExecutor.h"
+#include "control/LeaderRole.h"
+#include "control/LeaderRoleListener.h"
+#include "control/testing/FakeCoordinationStore.h"
+#include "observe/Log.h"
+#include "storerelay/StorePath.h"
+
+#include <gtest/gtest.h>
+
+using namespace vanillayard;
+
+namespace {
+
+class VirtualClock final : public BootClock {
+public:
+  explicit VirtualClock(const Executor &Exec) : Exec(Exec) {}
+  absl::Duration now() const override {
+    return this->Exec.now() - absl::UnixEpoch();
+  }
+
+private:
+  const Executor &Exec;
+};
+
+class CountingListener final : public LeaderRoleListener {
+public:
+  int Gained = 0;
+  int Lost = 0;
+  void roleGained(int64_t) override { ++this->Gained; }
+  void roleLost() override { ++this->Lost; }
+};
+
+class RelayedStoreTest : public testing::Test {
+protected:
+  RelayedStoreTest()
+      : Events(this->Exec, [](std::string_view) {}), Platform(this->Exec),
+        Direct(this->Exec, this->Platform),
+        Store(this->Exec, this->Direct, this->Peers, this->Events) {}
+
+  std::shared_ptr<RefusingStore> addPeer() {
+    auto Peer = std::make_shared<RefusingStore>(this->Exec, this->Platform);
+    this->Peers.Stores.push_back(Peer);
+    return Peer;
+  }
+
+  absl::StatusOr<StoreCommit> put(const std::string &Key) {
+    absl::StatusOr<StoreCommit> Answer = absl::UnknownError("no answer");
+    StoreTransaction Write;
+    Write.Expected.push_back({Key, 0});
+    Write.Puts.push_back({Key, "value", 0});
+    this->Store.commit(std::move(Write), [&](absl::StatusOr<StoreCommit> R) {
+      Answer = std::move(R);
+    });
+    this->Exec.advance(absl::Seconds(2));
+    return Answer;
+  }
+
+  VirtualExecutor Exec;
+  Log Events;
+  FakeCoordinationStore Platform;
+  RefusingStore Direct;
+  FakePeers Peers;
+  RelayedStore Store;
+};
+
+} // namespace
+
+// Guards against submissions that are refused although other hosts are served.
+TEST_F(RelayedStoreTest, RefusedCallGoesThroughAPeer) {
+  this->addPeer();
+  this->Direct.Failure = ErrorKind::PlatformUnavailable;
+  absl::StatusOr<StoreCommit> Answer = this->put("k");
+  ASSERT_TRUE(Answer.ok());
+  EXPECT_TRUE(Answer->IsApplied);
+  EXPECT_TRUE(this->Platform.has("k"));
+}
+
+// Guards against a call that ends with the first peer that is refused, too.
+TEST_F(RelayedStoreTest, NextPeerIsAsked) {
+  this->addPeer()->Failure = ErrorKind::PlatformUnavailable;
+  this->addPeer();
+  this->Direct.Failure = ErrorKind::PlatformUnavailable;
+  EXPECT_TRUE(this->put("k").ok());
+}
+
+// Guards against a write that is made twice: the first may still be made.
+TEST_F(RelayedStoreTest, CallWithoutAnswerIsNotRepeated) {
+  std::shared_ptr<RefusingStore> Peer = this->addPeer();
+  this->Direct.Failure = ErrorKind::OutcomeUnknown;
+  absl::StatusOr<StoreCommit> Answer = this->put("k");
+  EXPECT_EQ(errorKindOf(Answer.status()), ErrorKind::OutcomeUnknown);
+  EXPECT_EQ(Peer->Calls, 0);
+}
+
+// Guards against hosts that flood each other while the store is down.
+TEST_F(RelayedStoreTest, OutageIsToldAtOnceAndPeersRest) {
+  std::shared_ptr<RefusingStore> Peer = this->addPeer();
+  Peer->Failure = ErrorKind::PlatformUnavailable;
+  this->Direct.Failure = ErrorKind::PlatformUnavailable;
+  int Answers = 0;
+  for (int I = 0; I < 50; ++I)
+    this->Store.get("k", [&](absl::StatusOr<std::optional<StoreItem>> R) {
+      EXPECT_EQ(errorKindOf(R.status()), ErrorKind::PlatformUnavailable);
+      ++Answers;
+    });
+  this->Exec.advance(absl::Milliseconds(1));
+  EXPECT_EQ(Answers, 50);
+  int Before = Peer->Calls;
+  for (int I = 0; I < 50; ++I) {
+    this->Store.get("k", [](absl::StatusOr<std::optional<StoreItem>>) {});
+    this->Exec.advance(absl::Milliseconds(10));
+  }
+  EXPECT_EQ(Peer->Calls, Before);
+}
+
+// Guards against a detour that outlasts its reason.
+TEST_F(RelayedStoreTest, DirectPathIsUsedAgain) {
+  std::shared_ptr<RefusingStore> Peer = this->addPeer();
+  this->Direct.Failure = ErrorKind::PlatformUnavailable;
+  ASSERT_TRUE(this->put("a").ok());
+  this->Direct.Failure.reset();
+  ASSERT_TRUE(this->put("b").ok());
+  int Before = Peer->Calls;
+  ASSERT_TRUE(this->put("c").ok());
+  EXPECT_EQ(Peer->Calls, Before);
+}
+
+// Guards against a takeover, with its wait for all workers, whenever the store
+// turns the leader away.
+TEST_F(RelayedStoreTest, LeaderKeepsItsRole) {
+  this->addPeer();
+  VirtualClock Clock(this->Exec);
+  CountingListener Listener;
+  std::unique_ptr<LeaderRole> Role =
+      LeaderRole::Builder(this->Exec, this->Store, Clock, this->Events)
+          .host(HostId("h1"))
+          .listener(Listener)
+          .build();
+  Role->start();
+  this->Exec.advance(absl::Seconds(1));
+  ASSERT_TRUE(Role->mayStart());
+  this->Direct.Failure = ErrorKind::PlatformUnavailable;
+  for (int I = 0; I < 100; ++I) {
+    this->Exec.advance(absl::Milliseconds(100));
+    ASSERT_TRUE(Role->mayStart());
+  }
+  EXPECT_EQ(Listener.Gained, 1);
+  EXPECT_EQ(Listener.Lost, 0);
+}
