Suspend hosts in the leader's fuzz, and check that gangs run in one piece

Each host of the fuzz now has an executor of its own that can be suspended: its clock and timers stand still, answers wait. The oracle also checks that members of one gang that run at the same time belong to one run.

The retry now gets the desk that it runs on.

--- a/libs/control/src/CallerDesk.cpp
+++ b/libs/control/src/CallerDesk.cpp
@@ -72,7 +72,7 @@
   /// Runs \p Again later if the failure may pass in time.
   /// \returns the final error otherwise.
   std::optional<absl::Status> retry(Attempt &Try, const absl::Status &Error,
-                                    std::function<void(Attempt)> Again);
+                                    std::function<void(Impl &, Attempt)> Again);
   void create(Attempt Try, StoreTransaction Records, ClientAccountId Account,
               DoneCallback Done);
   void readState(Attempt Try, StateCallback Done);
@@ -171,7 +171,7 @@
 
 std::optional<absl::Status>
 CallerDesk::Impl::retry(Attempt &Try, const absl::Status &Error,
-                        std::function<void(Attempt)> Again) {
+                        std::function<void(Impl &, Attempt)> Again) {
   absl::Time Now = this->Exec.now();
   if (*Try.IsAnswered)
     return Error;
@@ -183,8 +183,8 @@
   if (Now + RetryDelay < GiveUpAt) {
     std::weak_ptr<Impl> Weak = this->weak_from_this();
     this->Exec.runAfter(RetryDelay, [Weak, Try, Again = std::move(Again)] {
-      if (Weak.lock())
-        Again(Try);
+      if (std::shared_ptr<Impl> Self = Weak.lock())
+        Again(*Self, Try);
     });
     return std::nullopt;
   }
@@ -225,8 +225,8 @@
         if (!Result.ok()) {
           std::optional<absl::Status> Final = Self->retry(
               Try, Result.status(),
-              [Self, Records, Account, Done](Attempt Next) {
-                Self->create(std::move(Next), Records, Account, Done);
+              [Records, Account, Done](Impl &Desk, Attempt Next) {
+                Desk.create(std::move(Next), Records, Account, Done);
               });
           if (!Final)
             return;
@@ -249,9 +249,9 @@
         if (!Self)
           return;
         if (!Result.ok()) {
-          std::optional<absl::Status> Final =
-              Self->retry(Try, Result.status(), [Self, Done](Attempt Next) {
-                Self->readState(std::move(Next), Done);
+          std::optional<absl::Status> Final = Self->retry(
+              Try, Result.status(), [Done](Impl &Desk, Attempt Next) {
+                Desk.readState(std::move(Next), Done);
               });
           if (Final) {
             Self->log(Try, "no answer", *Final);
@@ -285,9 +285,9 @@
           return;
         absl::Status Outcome = absl::OkStatus();
         if (!Result.ok()) {
-          std::optional<absl::Status> Final =
-              Self->retry(Try, Result.status(), [Self, Done](Attempt Next) {
-                Self->writeCancel(std::move(Next), Done);
+          std::optional<absl::Status> Final = Self->retry(
+              Try, Result.status(), [Done](Impl &Desk, Attempt Next) {
+                Desk.writeCancel(std::move(Next), Done);
               });
           if (!Final)
             return;
@@ -310,10 +310,11 @@
         if (!Self)
           return;
         if (!Result.ok()) {
-          std::optional<absl::Status> Final = Self->retry(
-              Try, Result.status(), [Self, QueueName, Done](Attempt Next) {
-                Self->readWaiting(std::move(Next), QueueName, Done);
-              });
+          std::optional<absl::Status> Final =
+              Self->retry(Try, Result.status(),
+                          [QueueName, Done](Impl &Desk, Attempt Next) {
+                            Desk.readWaiting(std::move(Next), QueueName, Done);
+                          });
           if (Final)
             Done(*Final);
           return;
--- a/libs/control/tests/ControlWorld.cpp
+++ b/libs/control/tests/ControlWorld.cpp
@@ -67,17 +67,22 @@
 
 ControlWorld::HostNode &ControlWorld::addHost(const std::string &Name) {
   HostNode &Node = this->Hosts[Name];
+  Node.Exec = std::make_unique<FreezableExecutor>(this->Exec);
+  Node.Store = std::make_unique<FreezableStore>(*Node.Exec, this->Store);
+  Node.Workers =
+      std::make_unique<FreezableWorkers>(*Node.Exec, this->Farm, this->Farm);
   Node.Desk =
-      std::make_unique<CallerDesk>(this->Exec, this->Store, this->Events);
+      std::make_unique<CallerDesk>(*Node.Exec, *Node.Store, this->Events);
   Node.Desk->configurationChanged(this->Table);
   LeaderTerms Terms;
   Terms.WorkerLease = this->Farm.MaxLease;
   Terms.Scheduling.StopTimeout = this->Farm.StopTime;
-  Node.Task = std::make_unique<LeaderTask>(this->Exec, this->Store, this->Farm,
-                                           this->Farm, Terms, this->Events);
+  Node.Task =
+      std::make_unique<LeaderTask>(*Node.Exec, *Node.Store, *Node.Workers,
+                                   *Node.Workers, Terms, this->Events);
   Node.Task->configurationChanged(this->Table);
   Node.Role =
-      LeaderRole::Builder(this->Exec, this->Store, this->Clock, this->Events)
+      LeaderRole::Builder(*Node.Exec, *Node.Store, this->Clock, this->Events)
           .host(HostId(Name))
           .listener(*Node.Task)
           .build();
@@ -94,6 +99,20 @@
   this->Hosts.erase(Name);
 }
 
+void ControlWorld::freezeHost(const std::string &Name, absl::Duration Time) {
+  this->Hosts.at(Name).Exec->freeze();
+  this->Exec.runAfter(Time, [this, Name] {
+    auto Found = this->Hosts.find(Name);
+    if (Found != this->Hosts.end())
+      Found->second.Exec->thaw();
+  });
+}
+
+void ControlWorld::thawAll() {
+  for (auto &[Name, Node] : this->Hosts)
+    Node.Exec->thaw();
+}
+
 ControlWorld::HostNode *ControlWorld::leader() {
   for (auto &[Name, Node] : this->Hosts)
     if (Node.Role->mayStart())
--- a/libs/control/tests/ControlWorld.h
+++ b/libs/control/tests/ControlWorld.h
@@ -1,6 +1,9 @@
 #ifndef VANILLAYARD_CONTROL_TESTS_CONTROLWORLD_H
 #define VANILLAYARD_CONTROL_TESTS_CONTROLWORLD_H
 
+#include "FreezableExecutor.h"
+#include "FreezableStore.h"
+#include "FreezableWorkers.h"
 #include "base/BootClock.h"
 #include "base/VirtualExecutor.h"
 #include "control/CallerDesk.h"
@@ -34,6 +37,9 @@
 class ControlWorld {
 public:
   struct HostNode {
+    std::unique_ptr<FreezableExecutor> Exec;
+    std::unique_ptr<FreezableStore> Store;
+    std::unique_ptr<FreezableWorkers> Workers;
     std::unique_ptr<CallerDesk> Desk;
     std::unique_ptr<LeaderTask> Task;
     std::unique_ptr<LeaderRole> Role;
@@ -45,6 +51,10 @@
   HostNode &addHost(const std::string &Name);
   /// The process ends at once, without a word to anybody.
   void killHost(const std::string &Name);
+  /// The machine is suspended for \p Time and then runs on.
+  void freezeHost(const std::string &Name, absl::Duration Time);
+  /// All suspended machines run on.
+  void thawAll();
   /// The leader, or null.
   HostNode *leader();
   std::string leaderName();
--- /dev/null
+++ b/libs/control/tests/FreezableExecutor.cpp
@@ -0,0 +1,69 @@
+#include "FreezableExecutor.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace vanillayard {
+
+void FreezableExecutor::State::deliver(std::function<void()> Work) {
+  if (this->IsFrozen)
+    this->Waiting.push_back(std::move(Work));
+  else
+    Work();
+}
+
+void FreezableExecutor::State::arm(TimerId Timer) {
+  this->Base.runAfter(this->Timers.at(Timer).Due - this->now(),
+                      [Self = this->shared_from_this(), Timer] {
+                        Self->deliver([Self, Timer] { Self->fire(Timer); });
+                      });
+}
+
+/// A timer that became due during a suspension still has its rest to wait.
+void FreezableExecutor::State::fire(TimerId Timer) {
+  auto Found = this->Timers.find(Timer);
+  if (Found == this->Timers.end())
+    return;
+  if (Found->second.Due > this->now())
+    return this->arm(Timer);
+  std::function<void()> Work = std::move(Found->second.Work);
+  this->Timers.erase(Found);
+  Work();
+}
+
+void FreezableExecutor::post(std::function<void()> Work) {
+  this->Shared->Base.post(
+      [State = this->Shared, Work = std::move(Work)] { State->deliver(Work); });
+}
+
+Executor::TimerId FreezableExecutor::runAfter(absl::Duration Delay,
+                                              std::function<void()> Work) {
+  State &S = *this->Shared;
+  TimerId Id = S.NextTimer++;
+  absl::Duration Wait = std::max(Delay, absl::ZeroDuration());
+  S.Timers[Id] = {S.now() + Wait, std::move(Work)};
+  S.arm(Id);
+  return Id;
+}
+
+void FreezableExecutor::cancel(TimerId Timer) {
+  this->Shared->Timers.erase(Timer);
+}
+
+void FreezableExecutor::freeze() {
+  State &S = *this->Shared;
+  if (std::exchange(S.IsFrozen, true))
+    return;
+  S.FrozenAt = S.Base.now();
+}
+
+void FreezableExecutor::thaw() {
+  State &S = *this->Shared;
+  if (!std::exchange(S.IsFrozen, false))
+    return;
+  S.Lost += S.Base.now() - S.FrozenAt;
+  for (std::function<void()> &Work : std::exchange(S.Waiting, {}))
+    Work();
+}
+
+} // namespace vanillayard
--- a/libs/control/tests/LeaderFuzzTest.cpp
+++ b/libs/control/tests/LeaderFuzzTest.cpp
@@ -54,6 +54,7 @@
   std::string violations() {
     std::string Out;
     this->checkOverlaps(Out);
+    this->checkGangs(Out);
     this->checkStartsAfterDone(Out);
     this->checkAttempts(Out);
     this->checkOrder(Out);
@@ -78,7 +79,7 @@
   }
 
   void step() {
-    switch (this->pick(0, 15)) {
+    switch (this->pick(0, 17)) {
     case 0:
     case 1:
     case 2:
@@ -127,6 +128,9 @@
       if (this->chance(30))
         return this->stopStore();
       break;
+    case 14:
+      this->freeze();
+      break;
     default:
       break;
     }
@@ -164,6 +168,18 @@
     this->World.Store.Faults = nullptr;
   }
 
+  /// The leader more often than the others, past its lease or not.
+  void freeze() {
+    std::string Name = this->World.leaderName();
+    if (Name.empty() || this->chance(30)) {
+      auto It = this->World.Hosts.begin();
+      std::advance(
+          It, this->pick(0, static_cast<int>(this->World.Hosts.size()) - 1));
+      Name = It->first;
+    }
+    this->World.freezeHost(Name, absl::Milliseconds(this->pick(100, 9000)));
+  }
+
   void replaceHost() {
     auto It = this->World.Hosts.begin();
     std::advance(It,
@@ -175,6 +191,7 @@
   void endFaults() {
     this->World.Farm.Faults = nullptr;
     this->World.Store.Faults = nullptr;
+    this->World.thawAll();
     for (int I = 0; I < 6; ++I) {
       WorkerId Id(fmt::format("w{}", I));
       this->World.Farm.setDraining(Id, false);
@@ -211,6 +228,24 @@
     }
   }
 
+  /// All members that run at the same time belong to one run.
+  void checkGangs(std::string &Out) {
+    std::map<std::pair<std::string, int>, std::vector<FakeWorkerFarm::Begun>>
+        ByGang;
+    for (const FakeWorkerFarm::Begun &Run : this->World.Farm.BegunRuns) {
+      const std::string &Id = Run.Task.Job.str();
+      if (this->World.stepOf(Run.Task)->IsGang)
+        ByGang[{Id, Run.Task.Step}].push_back(Run);
+    }
+    for (auto &[Gang, Runs] : ByGang) {
+      for (const FakeWorkerFarm::Begun &A : Runs)
+        for (const FakeWorkerFarm::Begun &B : Runs)
+          if (A.Run < B.Run && A.At <= B.At && this->endOf(A) > B.At)
+            Out += fmt::format("gang {}.{} had members of runs {} and {}\n",
+                               Gang.first, Gang.second, A.Run, B.Run);
+    }
+  }
+
   void checkStartsAfterDone(std::string &Out) {
     for (const FakeWorkerFarm::Over &End : this->World.Farm.EndedRuns) {
       if (End.Outcome != RunOutcome::Done || End.IsForgotten)
