Acknowledge ends only while no start is under way, and see restarts by the clock

A worker restarts, accepts a start before that is noticed, and an acknowledgement for its earlier life is carried out late: the end of the new run is forgotten, and the done task runs again.

Ruled out: resting longer. The start comes before the restart is known.

No acknowledgement is sent while a start is unanswered, or before the first report after an unanswered call. An answer to a start whose clock reads less than the worker's clock did when the start was sent shows a restart.

--- a/libs/control/src/WorkerDriver.cpp
+++ b/libs/control/src/WorkerDriver.cpp
@@ -3,6 +3,7 @@
 #include "WorkerClock.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace vanillayard {
 
@@ -34,6 +35,16 @@
   this->ClockAt = Now;
 }
 
+/// Whether a reading that was taken after \p SentAt is below what the clock
+/// showed then, so that the worker must have started anew.
+bool WorkerDriver::isEarlierThanKnown(absl::Duration Reading,
+                                      absl::Time SentAt) const {
+  absl::Duration Since = SentAt - this->ClockAt;
+  double Rate =
+      Since > absl::ZeroDuration() ? SlowestWorkerClock : FastestWorkerClock;
+  return Reading < this->Clock + Since * Rate;
+}
+
 /// A new incarnation knows nothing of before. It may hold runs that were
 /// ordered before its start was noticed; its next report tells which.
 void WorkerDriver::reset(int64_t Incarnation) {
@@ -103,17 +114,22 @@
       !this->needsRenewal() ||
       this->Target.leaseAllowance() <= absl::ZeroDuration())
     return;
+  // Repeating an old number could make a new incarnation, which counts from 1
+  // again, forget ends that nobody has seen.
+  bool IsDue = this->HasReported && this->RecordedEnd > this->ToldEnd;
+  if (IsDue && this->StartsUnderWay > 0)
+    return;
   this->IsRenewing = true;
-  bool MayWait = this->HasReported && this->Target.hasRuns(this->Entry.Id);
+  this->IsAcknowledging = IsDue;
+  bool MayWait =
+      !IsDue && this->HasReported && this->Target.hasRuns(this->Entry.Id);
   WorkerGateway::Renewal Request;
   Request.Fence = this->Target.fence();
   // The lease of a worker that does not answer must run out: other runs of its
   // tasks wait for that.
   if (this->HasReported)
     Request.LeaseUntil = this->leaseUntil();
-  // Repeating an old number could make a new incarnation, which counts from 1
-  // again, forget ends that nobody has seen.
-  if (this->RecordedEnd > this->ToldEnd)
+  if (IsDue)
     Request.AcknowledgedEnd = this->RecordedEnd;
   Request.Wait = MayWait ? RenewWait : absl::ZeroDuration();
   EndMark Told{this->Entry.Incarnation, Request.AcknowledgedEnd};
@@ -121,17 +137,20 @@
   absl::Time OpenBefore = this->OpenAcknowledgementAt;
   if (Told.Sequence > 0)
     this->OpenAcknowledgementAt = AskedAt;
+  auto Answered = [Weak = this->weak_from_this(), Told, AskedAt,
+                   OpenBefore](const RenewReply &Reply) {
+    std::shared_ptr<WorkerDriver> Self = Weak.lock();
+    if (!Self || Self->IsClosed)
+      return;
+    Self->IsRenewing = false;
+    Self->IsAcknowledging = false;
+    Self->acknowledgementAnswered(Told, Reply.Answer, OpenBefore);
+    Self->renewed(Reply, AskedAt);
+    Self->releaseStarts();
+    Self->pump();
+  };
   this->Gateway.renew(this->target(), Request, Request.Wait + CallTimeout,
-                      [Weak = this->weak_from_this(), Told, AskedAt,
-                       OpenBefore](RenewReply Reply) {
-                        std::shared_ptr<WorkerDriver> Self = Weak.lock();
-                        if (!Self || Self->IsClosed)
-                          return;
-                        Self->IsRenewing = false;
-                        Self->acknowledgementAnswered(Told, Reply.Answer,
-                                                      OpenBefore);
-                        Self->renewed(Reply, AskedAt);
-                      });
+                      std::move(Answered));
 }
 
 /// \param OpenBefore when the newest earlier one was left unanswered.
@@ -164,7 +183,6 @@
   this->noteClock(Report.Clock);
   this->HasReported = true;
   this->Target.reported(this->Entry.Id, Report, AskedAt);
-  this->pump();
 }
 
 /// An unanswered call may mean that the worker has crashed. Nothing more is
@@ -204,22 +222,49 @@
 }
 
 void WorkerDriver::start(const StartOrder &Order) {
-  this->Gateway.start(this->target(), Order, this->Target.fence(),
-                      this->leaseUntil(), CallTimeout,
-                      [Weak = this->weak_from_this(), Order](OrderReply Reply) {
-                        std::shared_ptr<WorkerDriver> Self = Weak.lock();
-                        if (!Self || Self->IsClosed)
-                          return;
-                        if (Reply.Clock)
-                          Self->noteClock(*Reply.Clock);
-                        if (Reply.Answer == OrderAnswer::Unknown ||
-                            Reply.Answer == OrderAnswer::WrongIncarnation)
-                          Self->suspect();
-                        Self->Target.startAnswered(Order, Reply.Answer);
-                        if (Reply.Answer == OrderAnswer::Fenced)
-                          return Self->Target.fenced();
-                        Self->pump();
-                      });
+  if (!this->IsAcknowledging)
+    return this->sendStart(Order);
+  // The run counts as one that the worker may hold from now on.
+  this->leaseUntil();
+  this->HeldStarts.push_back(Order);
+}
+
+void WorkerDriver::releaseStarts() {
+  for (const StartOrder &Order : std::exchange(this->HeldStarts, {})) {
+    if (this->mayTakeRuns())
+      this->sendStart(Order);
+    else
+      this->Target.startAnswered(Order, OrderAnswer::Unavailable);
+  }
+}
+
+void WorkerDriver::sendStart(const StartOrder &Order) {
+  ++this->StartsUnderWay;
+  absl::Time SentAt = this->Exec.now();
+  this->Gateway.start(
+      this->target(), Order, this->Target.fence(), this->leaseUntil(),
+      CallTimeout,
+      [Weak = this->weak_from_this(), Order, SentAt](const OrderReply &Reply) {
+        std::shared_ptr<WorkerDriver> Self = Weak.lock();
+        if (Self && !Self->IsClosed)
+          Self->startAnswered(Order, Reply, SentAt);
+      });
+}
+
+void WorkerDriver::startAnswered(const StartOrder &Order,
+                                 const OrderReply &Reply, absl::Time SentAt) {
+  --this->StartsUnderWay;
+  bool IsNewLife =
+      Reply.Clock && this->isEarlierThanKnown(*Reply.Clock, SentAt);
+  if (Reply.Clock && !IsNewLife)
+    this->noteClock(*Reply.Clock);
+  if (IsNewLife || Reply.Answer == OrderAnswer::Unknown ||
+      Reply.Answer == OrderAnswer::WrongIncarnation)
+    this->suspect();
+  this->Target.startAnswered(Order, Reply.Answer);
+  if (Reply.Answer == OrderAnswer::Fenced)
+    return this->Target.fenced();
+  this->pump();
 }
 
 void WorkerDriver::stop(const StopOrder &Order) {
--- a/libs/control/src/WorkerDriver.h
+++ b/libs/control/src/WorkerDriver.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <vector>
 
 namespace vanillayard {
 
@@ -18,6 +19,10 @@
 /// The lease is renewed by a long poll, whose answer is also the report of
 /// runs and ends. There is at most one renewal at a time, so reports arrive in
 /// order. A worker without runs and without ends to acknowledge is left alone.
+///
+/// Ends are acknowledged by a renewal that does not wait, and never while a
+/// start is under way. Otherwise a worker that restarts unnoticed could run a
+/// task and then forget its end because of a number from its earlier life.
 class WorkerDriver : public std::enable_shared_from_this<WorkerDriver> {
 public:
   /// What the driver needs to know and to tell.
@@ -80,6 +85,11 @@
 private:
   WorkerTarget target() const { return {this->Entry.Id, this->Entry.Address}; }
   void noteClock(absl::Duration Clock);
+  bool isEarlierThanKnown(absl::Duration Reading, absl::Time SentAt) const;
+  void sendStart(const StartOrder &Order);
+  void startAnswered(const StartOrder &Order, const OrderReply &Reply,
+                     absl::Time SentAt);
+  void releaseStarts();
   void reset(int64_t Incarnation);
   void restForLateAcknowledgement();
   absl::Duration leaseUntil();
@@ -101,6 +111,10 @@
   absl::Time LeaseEndsBy;
   bool HasReported = false;
   bool IsRenewing = false;
+  /// The renewal under way acknowledges ends. Starts wait for its answer.
+  bool IsAcknowledging = false;
+  std::vector<StartOrder> HeldStarts;
+  int StartsUnderWay = 0;
   bool IsRetryPending = false;
   bool IsClosed = false;
   /// Ends that have been taken in, that are recorded, and that the worker has
--- a/libs/control/tests/LeaderFuzzTest.cpp
+++ b/libs/control/tests/LeaderFuzzTest.cpp
@@ -350,6 +350,13 @@
   EXPECT_EQ(violationsOf(static_cast<uint32_t>(std::stoul(Seed))), "");
 }
 
+// Seeds that have failed. 1993311897: a worker restarted unnoticed, ran a task
+// and forgot its end because of an acknowledgement for its earlier life.
+TEST(LeaderFuzzTest, SeedsThatHaveFailed) {
+  for (uint32_t Seed : {1993311897U})
+    EXPECT_EQ(violationsOf(Seed), "") << Seed;
+}
+
 RC_GTEST_PROP(LeaderFuzzTest, PromisesHoldUnderFaults, (uint32_t Seed)) {
   std::string Violations = violationsOf(Seed);
   if (!Violations.empty())
