Serve counters and latency histograms; log calls that are refused early

The metrics address served three gauges, and calls refused before the store is asked (no configuration, no queue, unknown key, unreadable body, too large) had no log line. Now: callers' calls by kind, account, queue and error, with latencies; store calls and orders to workers by outcome, with latencies, in decorators of their ports; waits of starts by priority; ended jobs by queue and state; role changes; waiting jobs; version and age of the configuration; memory and descriptors. Lines of one reason of refusal share a rate limit. A part of the configuration that has its defaults is logged.

--- a/libs/control/include/control/CallerDesk.h
+++ b/libs/control/include/control/CallerDesk.h
@@ -18,6 +18,7 @@
 
 class CoordinationStore;
 class Log;
+class Metrics;
 class QueueTable;
 
 /// Answers callers of queues: submits, shows, cancels and counts jobs.
@@ -37,22 +38,24 @@
   using StateCallback = std::function<void(absl::StatusOr<BatchState>)>;
   using CountCallback = std::function<void(absl::StatusOr<int64_t>)>;
 
-  CallerDesk(Executor &Exec, CoordinationStore &Store, Log &Events);
+  CallerDesk(Executor &Exec, CoordinationStore &Store, Log &Events,
+             Metrics &Figures);
   ~CallerDesk();
 
   void configurationChanged(std::shared_ptr<const QueueTable> Newer);
   bool hasConfiguration() const;
 
-  /// \param Draft the job as the caller describes it; its id and the terms of
-  ///        the queue are filled in.
-  void submit(const CallerIdentity &Caller, BatchJob Draft, DoneCallback Done);
+  /// \param Draft the job as the caller describes it, or why it cannot be read;
+  ///        its id and the terms of the queue are filled in.
+  void submit(const CallerIdentity &Caller, absl::StatusOr<BatchJob> Draft,
+              DoneCallback Done);
   void state(const CallerIdentity &Caller, StateCallback Done);
   void cancel(const CallerIdentity &Caller, DoneCallback Done);
   /// Jobs of the queue that have not started.
   void waiting(const CallerIdentity &Caller, CountCallback Done);
 
-  /// Checks what can be checked before the body is read: the queue, the key
-  /// and the sizes of headers and body.
+  /// Checks what can be checked before the body of a submission is read: the
+  /// queue, the key and the sizes of headers and body.
   absl::Status admit(const CallerIdentity &Caller, size_t HeaderBytes,
                      size_t BodyBytes) const;
 
--- a/libs/control/include/control/ConfigurationFeed.h
+++ b/libs/control/include/control/ConfigurationFeed.h
@@ -4,6 +4,7 @@
 #include "fleet/FleetConfiguration.h"
 
 #include "absl/status/statusor.h"
+#include "absl/time/time.h"
 
 #include <functional>
 #include <memory>
@@ -36,6 +37,8 @@
 
   /// The configuration in force, or null before the first.
   std::shared_ptr<const QueueTable> current() const;
+  /// When the store last answered; InfinitePast before its first answer.
+  absl::Time confirmedAt() const;
 
   class Impl;
 
--- a/libs/control/include/control/LeaderTask.h
+++ b/libs/control/include/control/LeaderTask.h
@@ -6,13 +6,16 @@
 #include "control/LeaderTerms.h"
 
 #include <cstddef>
+#include <map>
 #include <memory>
+#include <string>
 
 namespace vanillayard {
 
 class CoordinationStore;
 class LeaderRole;
 class Log;
+class Metrics;
 class QueueTable;
 class WorkerDirectory;
 class WorkerGateway;
@@ -23,14 +26,15 @@
 /// by the next leader.
 ///
 /// \code
-///   LeaderTask Task(Exec, Store, Gateway, Directory, Terms, Events);
+///   LeaderTask Task(Exec, Store, Gateway, Directory, Terms, Events, Figures);
 ///   auto Role = LeaderRole::Builder(...).listener(Task).build();
 ///   Task.attach(*Role);
 /// \endcode
 class LeaderTask final : public LeaderRoleListener {
 public:
   LeaderTask(Executor &Exec, CoordinationStore &Store, WorkerGateway &Gateway,
-             WorkerDirectory &Directory, const LeaderTerms &Terms, Log &Events);
+             WorkerDirectory &Directory, const LeaderTerms &Terms, Log &Events,
+             Metrics &Figures);
   ~LeaderTask() override;
 
   /// Sets the role whose validity bounds the orders. Must outlive the task's
@@ -45,6 +49,8 @@
   bool isServing() const;
   size_t jobCount() const;
   size_t workerCount() const;
+  /// Jobs without a schedule that have not started, by queue.
+  std::map<std::string, int64_t> waitingByQueue() const;
 
   class Term;
 
@@ -55,6 +61,7 @@
   WorkerDirectory &Directory;
   LeaderTerms Terms;
   Log &Events;
+  Metrics &Figures;
   LeaderRole *Role = nullptr;
   std::shared_ptr<const QueueTable> Configuration;
   /// One term of office; null while the role is not held.
--- /dev/null
+++ b/libs/control/include/control/MeteredStore.h
@@ -0,0 +1,46 @@
+#ifndef VANILLAYARD_CONTROL_METEREDSTORE_H
+#define VANILLAYARD_CONTROL_METEREDSTORE_H
+
+#include "store/CoordinationStore.h"
+
+#include <string_view>
+
+namespace vanillayard {
+
+class Executor;
+class Metrics;
+
+/// Counts and times the calls that pass through to another store.
+///
+/// Metrics: vanillayard_store_calls_total by operation and outcome (ok or the
+/// name of the error kind), vanillayard_store_call_seconds by operation.
+/// Watches are counted and not timed, because they wait.
+class MeteredStore final : public CoordinationStore {
+public:
+  /// All arguments must outlive the store and its calls.
+  MeteredStore(const Executor &Exec, CoordinationStore &Inner, Metrics &Figures)
+      : Exec(Exec), Inner(Inner), Figures(Figures) {}
+
+  void get(const std::string &Key, GetCallback Done) override;
+  void list(const std::string &Prefix, ListCallback Done) override;
+  void awaitChanges(const std::string &Prefix, int64_t After,
+                    absl::Duration Wait, ChangesCallback Done) override;
+  void commit(StoreTransaction Transaction, CommitCallback Done) override;
+  void grantLease(absl::Duration TimeToLive, LeaseCallback Done) override;
+  void keepLease(int64_t Lease, DoneCallback Done) override;
+  void endLease(int64_t Lease, DoneCallback Done) override;
+
+private:
+  template <typename Result>
+  std::function<void(Result)> metered(std::string_view Operation,
+                                      std::function<void(Result)> Done);
+  void count(std::string_view Operation, const absl::Status &Status);
+
+  const Executor &Exec;
+  CoordinationStore &Inner;
+  Metrics &Figures;
+};
+
+} // namespace vanillayard
+
+#endif
--- a/libs/control/src/CallerDesk.cpp
+++ b/libs/control/src/CallerDesk.cpp
@@ -6,6 +6,7 @@
 #include "fleet/JobProgressCodec.h"
 #include "fleet/QueueTable.h"
 #include "observe/Log.h"
+#include "observe/Metrics.h"
 #include "store/CoordinationStore.h"
 
 #include <fmt/format.h>
@@ -37,6 +38,9 @@
 struct Attempt {
   std::string Call;
   JobId Job;
+  ClientAccountId Account;
+  /// Name of the queue.
+  std::string Queue;
   absl::Time Began;
   absl::Time GiveUpAt;
   /// An earlier try may have had an effect.
@@ -56,8 +60,8 @@
 
 class CallerDesk::Impl : public std::enable_shared_from_this<Impl> {
 public:
-  Impl(Executor &Exec, CoordinationStore &Store, Log &Events)
-      : Exec(Exec), Store(Store), Events(Events) {}
+  Impl(Executor &Exec, CoordinationStore &Store, Log &Events, Metrics &Figures)
+      : Exec(Exec), Store(Store), Events(Events), Figures(Figures) {}
 
   absl::StatusOr<ResolvedCall> resolve(const CallerIdentity &Caller) const;
   absl::StatusOr<ResolvedCall> resolveJob(const CallerIdentity &Caller) const;
@@ -80,12 +84,20 @@
   void readWaiting(Attempt Try, std::string QueueName, CountCallback Done);
   absl::Status existing(const StoreCommit &Result, const Attempt &Try,
                         const ClientAccountId &Account) const;
+  int64_t version() const;
+  /// Logs and counts a call that reached the store.
   void log(const Attempt &Try, std::string_view Outcome,
-           const absl::Status &Status) const;
+           const absl::Status &Status);
+  /// Logs and counts a call that is refused before that.
+  void logRefusal(std::string_view Call, const CallerIdentity &Caller,
+                  const absl::Status &Status);
+  void count(const std::string &Call, const std::string &Account,
+             const std::string &Queue, const absl::Status &Status);
 
   Executor &Exec;
   CoordinationStore &Store;
   Log &Events;
+  Metrics &Figures;
   std::shared_ptr<const QueueTable> Table;
 };
 
@@ -129,22 +141,63 @@
   if (Caller.Deadline > absl::ZeroDuration())
     Time = std::min(Time, Caller.Deadline);
   absl::Time Now = this->Exec.now();
-  return {std::move(Call), Resolved.Job, Now, Now + Time - AnswerTime};
+  return {std::move(Call),       Resolved.Job, Resolved.Account,
+          Resolved.Target->Name, Now,          Now + Time - AnswerTime};
+}
+
+static std::string outcomeOf(const absl::Status &Status) {
+  return Status.ok() ? "none"
+                     : std::string(answerFor(errorKindOf(Status)).Name);
+}
+
+int64_t CallerDesk::Impl::version() const {
+  return this->Table ? this->Table->configuration().Version : 0;
 }
 
 void CallerDesk::Impl::log(const Attempt &Try, std::string_view Outcome,
-                           const absl::Status &Status) const {
-  this->Events.write(
-      LogLevel::Info, "caller", Try.Call,
-      {{"job", Try.Job},
-       {"outcome", Outcome},
-       {"error", Status.ok()
-                     ? std::string("none")
-                     : std::string(answerFor(errorKindOf(Status)).Name)},
-       {"configuration",
-        this->Table ? this->Table->configuration().Version : 0},
-       {"took", this->Exec.now() - Try.Began}},
-      fmt::format("{}: {}", Try.Call, Try.Job.str()));
+                           const absl::Status &Status) {
+  absl::Duration Took = this->Exec.now() - Try.Began;
+  this->Events.write(LogLevel::Info, "caller", Try.Call,
+                     {{"job", Try.Job},
+                      {"outcome", Outcome},
+                      {"error", outcomeOf(Status)},
+                      {"configuration", this->version()},
+                      {"took", Took}},
+                     fmt::format("{}: {}", Try.Call, Try.Job.str()));
+  this->count(Try.Call, Try.Account.str(), Try.Queue, Status);
+  this->Figures
+      .histogram("vanillayard_call_seconds",
+                 "time to the answer of callers' calls", {{"call", Try.Call}})
+      .record(Took);
+}
+
+void CallerDesk::Impl::logRefusal(std::string_view Call,
+                                  const CallerIdentity &Caller,
+                                  const absl::Status &Status) {
+  // A caller may choose any path, so the lines of one reason share a limit.
+  this->Events.write(LogLevel::Info, "caller", Call,
+                     {{"job", Caller.Path.substr(Caller.Path.rfind('/') + 1)},
+                      {"outcome", "refused"},
+                      {"error", outcomeOf(Status)},
+                      {"detail", std::string(Status.message())},
+                      {"path", Caller.Path},
+                      {"configuration", this->version()}},
+                     fmt::format("{}: {}", Call, outcomeOf(Status)));
+  this->count(std::string(Call), "", "", Status);
+}
+
+void CallerDesk::Impl::count(const std::string &Call,
+                             const std::string &Account,
+                             const std::string &Queue,
+                             const absl::Status &Status) {
+  this->Figures
+      .counter("vanillayard_calls_total",
+               "callers' calls by kind, client account, queue and error",
+               {{"call", Call},
+                {"account", Account},
+                {"queue", Queue},
+                {"error", outcomeOf(Status)}})
+      .add();
 }
 
 template <typename Callback>
@@ -330,8 +383,9 @@
       });
 }
 
-CallerDesk::CallerDesk(Executor &Exec, CoordinationStore &Store, Log &Events)
-    : Implementation(std::make_shared<Impl>(Exec, Store, Events)) {}
+CallerDesk::CallerDesk(Executor &Exec, CoordinationStore &Store, Log &Events,
+                       Metrics &Figures)
+    : Implementation(std::make_shared<Impl>(Exec, Store, Events, Figures)) {}
 
 CallerDesk::~CallerDesk() = default;
 
@@ -345,16 +399,16 @@
 
 absl::Status CallerDesk::admit(const CallerIdentity &Caller, size_t HeaderBytes,
                                size_t BodyBytes) const {
-  const Impl &I = *this->Implementation;
-  absl::StatusOr<ResolvedCall> Resolved = I.resolveJob(Caller);
-  if (!Resolved.ok())
-    return Resolved.status();
-  const FleetConfiguration &Limits = I.Table->configuration();
-  if (HeaderBytes > Limits.MaxHeaderBytes)
-    return makeError(ErrorKind::HeadersTooLarge, "the headers are too large");
-  if (BodyBytes > Limits.MaxBodyBytes)
-    return makeError(ErrorKind::PayloadTooLarge, "the body is too large");
-  return absl::OkStatus();
+  Impl &I = *this->Implementation;
+  absl::Status Refusal = I.resolveJob(Caller).status();
+  if (Refusal.ok() && HeaderBytes > I.Table->configuration().MaxHeaderBytes)
+    Refusal =
+        makeError(ErrorKind::HeadersTooLarge, "the headers are too large");
+  if (Refusal.ok() && BodyBytes > I.Table->configuration().MaxBodyBytes)
+    Refusal = makeError(ErrorKind::PayloadTooLarge, "the body is too large");
+  if (!Refusal.ok())
+    I.logRefusal("submit", Caller, Refusal);
+  return Refusal;
 }
 
 bool CallerDesk::namesQueue(const CallerIdentity &Caller) const {
@@ -364,12 +418,16 @@
   return Target && Target->PathPrefix == Caller.Path;
 }
 
-void CallerDesk::submit(const CallerIdentity &Caller, BatchJob Draft,
-                        DoneCallback Done) {
+void CallerDesk::submit(const CallerIdentity &Caller,
+                        absl::StatusOr<BatchJob> Described, DoneCallback Done) {
   Impl &I = *this->Implementation;
   absl::StatusOr<ResolvedCall> Resolved = I.resolveJob(Caller);
-  if (!Resolved.ok())
-    return Done(Resolved.status());
+  absl::Status Refusal = Resolved.ok() ? Described.status() : Resolved.status();
+  if (!Refusal.ok()) {
+    I.logRefusal("submit", Caller, Refusal);
+    return Done(Refusal);
+  }
+  BatchJob Draft = *std::move(Described);
   const Queue &Target = *Resolved->Target;
   Attempt Try = I.attempt("submit", *Resolved, Caller);
   Draft.Id = Resolved->Job;
@@ -403,8 +461,10 @@
 void CallerDesk::state(const CallerIdentity &Caller, StateCallback Done) {
   Impl &I = *this->Implementation;
   absl::StatusOr<ResolvedCall> Resolved = I.resolveJob(Caller);
-  if (!Resolved.ok())
+  if (!Resolved.ok()) {
+    I.logRefusal("state", Caller, Resolved.status());
     return Done(Resolved.status());
+  }
   Attempt Try = I.attempt("state", *Resolved, Caller);
   StateCallback Bounded = I.bounded(Try, std::move(Done));
   I.readState(std::move(Try), std::move(Bounded));
@@ -413,8 +473,10 @@
 void CallerDesk::cancel(const CallerIdentity &Caller, DoneCallback Done) {
   Impl &I = *this->Implementation;
   absl::StatusOr<ResolvedCall> Resolved = I.resolveJob(Caller);
-  if (!Resolved.ok())
+  if (!Resolved.ok()) {
+    I.logRefusal("cancel", Caller, Resolved.status());
     return Done(Resolved.status());
+  }
   Attempt Try = I.attempt("cancel", *Resolved, Caller);
   std::weak_ptr<Impl> Weak = this->Implementation;
   DoneCallback Bounded = I.bounded(Try, std::move(Done));
@@ -436,8 +498,10 @@
 void CallerDesk::waiting(const CallerIdentity &Caller, CountCallback Done) {
   Impl &I = *this->Implementation;
   absl::StatusOr<ResolvedCall> Resolved = I.resolve(Caller);
-  if (!Resolved.ok())
+  if (!Resolved.ok()) {
+    I.logRefusal("waiting", Caller, Resolved.status());
     return Done(Resolved.status());
+  }
   Attempt Try = I.attempt("waiting", *Resolved, Caller);
   CountCallback Bounded = I.bounded(Try, std::move(Done));
   I.readWaiting(std::move(Try), Resolved->Target->Name, std::move(Bounded));
--- a/libs/control/src/ConfigurationFeed.cpp
+++ b/libs/control/src/ConfigurationFeed.cpp
@@ -28,6 +28,7 @@
   void watch(int64_t Revision);
   void take(const StoreItem &Item);
   void retry();
+  void confirm() { this->ConfirmedAt = this->Exec.now(); }
 
   Executor &Exec;
   CoordinationStore &Store;
@@ -37,6 +38,7 @@
   ChangeCallback Changed;
   std::shared_ptr<const QueueTable> Current;
   bool HasFailed = false;
+  absl::Time ConfirmedAt = absl::InfinitePast();
 };
 
 void ConfigurationFeed::Impl::retry() {
@@ -62,6 +64,7 @@
         }
         if (std::exchange(Self->HasFailed, false))
           Self->Events.info("configuration", "the store answers again", {});
+        Self->confirm();
         if (!Result->has_value())
           return Self->retry();
         Self->take(**Result);
@@ -80,6 +83,7 @@
                                return;
                              if (!Result.ok() || Result->IsHistoryLost)
                                return Self->read();
+                             Self->confirm();
                              for (const StoreChange &Change : Result->Changes)
                                if (!Change.IsDeleted &&
                                    Change.Item.Key == Self->Key)
@@ -104,6 +108,9 @@
                      {"revision", Item.Revision},
                      {"queues", Decoded->Queues.size()},
                      {"accounts", Decoded->Accounts.size()}});
+  for (const std::string &Part : Decoded->UnreadableParts)
+    this->Events.warning("configuration", "a part has its defaults",
+                         {{"version", Decoded->Version}, {"part", Part}});
   this->Current = std::make_shared<QueueTable>(*std::move(Decoded));
   if (this->Changed)
     this->Changed(this->Current);
@@ -122,6 +129,10 @@
   this->Implementation->read();
 }
 
+absl::Time ConfigurationFeed::confirmedAt() const {
+  return this->Implementation->ConfirmedAt;
+}
+
 std::shared_ptr<const QueueTable> ConfigurationFeed::current() const {
   return this->Implementation->Current;
 }
--- a/libs/control/src/LeaderTask.cpp
+++ b/libs/control/src/LeaderTask.cpp
@@ -2,6 +2,7 @@
 
 #include "LeaderTaskImpl.h"
 #include "fleet/QueueTable.h"
+#include "observe/Metrics.h"
 
 #include <cassert>
 #include <utility>
@@ -10,9 +11,9 @@
 
 LeaderTask::LeaderTask(Executor &Exec, CoordinationStore &Store,
                        WorkerGateway &Gateway, WorkerDirectory &Directory,
-                       const LeaderTerms &Terms, Log &Events)
+                       const LeaderTerms &Terms, Log &Events, Metrics &Figures)
     : Exec(Exec), Store(Store), Gateway(Gateway), Directory(Directory),
-      Terms(Terms), Events(Events) {}
+      Terms(Terms), Events(Events), Figures(Figures) {}
 
 LeaderTask::~LeaderTask() {
   this->roleLost();
@@ -30,9 +31,14 @@
 
 void LeaderTask::roleGained(int64_t Fence) {
   assert(this->Role && "attach() comes first");
+  this->Figures
+      .counter("vanillayard_role_changes_total",
+               "times that this host has gained or lost the leader's role",
+               {{"change", "gained"}})
+      .add();
   this->Current = std::make_shared<Term>(
       Term::Ports{this->Exec, this->Store, this->Gateway, this->Directory,
-                  *this->Role, this->Events},
+                  *this->Role, this->Events, this->Figures},
       this->Terms, Fence);
   if (this->Configuration)
     this->Current->configurationChanged(*this->Configuration);
@@ -40,8 +46,15 @@
 }
 
 void LeaderTask::roleLost() {
-  if (std::shared_ptr<Term> Ended = std::exchange(this->Current, nullptr))
-    Ended->end();
+  std::shared_ptr<Term> Ended = std::exchange(this->Current, nullptr);
+  if (!Ended)
+    return;
+  Ended->end();
+  this->Figures
+      .counter("vanillayard_role_changes_total",
+               "times that this host has gained or lost the leader's role",
+               {{"change", "lost"}})
+      .add();
 }
 
 bool LeaderTask::isServing() const {
@@ -52,6 +65,11 @@
   return this->Current ? this->Current->jobCount() : 0;
 }
 
+std::map<std::string, int64_t> LeaderTask::waitingByQueue() const {
+  return this->Current ? this->Current->waitingByQueue()
+                       : std::map<std::string, int64_t>();
+}
+
 size_t LeaderTask::workerCount() const {
   return this->Current ? this->Current->workerCount() : 0;
 }
--- a/libs/control/src/LeaderTaskImpl.cpp
+++ b/libs/control/src/LeaderTaskImpl.cpp
@@ -7,6 +7,7 @@
 #include "fleet/JobProgressCodec.h"
 #include "fleet/QueueTable.h"
 #include "observe/Log.h"
+#include "observe/Metrics.h"
 #include "store/CoordinationStore.h"
 
 #include <nlohmann/json.hpp>
@@ -232,9 +233,16 @@
 }
 
 void LeaderTask::Term::written(const ProgressChange &Change) {
-  if (Change.IsFinal)
-    this->Finished.emplace_back(
-        this->now() + this->Terms.Retention + RetentionSlack, Change.Job);
+  if (!Change.IsFinal)
+    return;
+  this->Links.Figures
+      .counter("vanillayard_jobs_ended_total",
+               "jobs whose end was recorded, by queue and state",
+               {{"queue", Change.Queue},
+                {"state", std::string(BatchStateNames.nameOf(Change.State))}})
+      .add();
+  this->Finished.emplace_back(
+      this->now() + this->Terms.Retention + RetentionSlack, Change.Job);
 }
 
 void LeaderTask::Term::publishWaiting() {
@@ -314,8 +322,14 @@
     if (Found != this->Drivers.end())
       Found->second->stop(Order);
   }
-  for (const StartOrder &Order : Round.Starts)
+  for (const StartOrder &Order : Round.Starts) {
+    this->Links.Figures
+        .histogram("vanillayard_start_wait_seconds",
+                   "time from when a task could start to its start order",
+                   {{"priority", std::to_string(Order.Priority)}})
+        .record(Order.Waited);
     this->Drivers.at(Order.Worker)->start(Order);
+  }
   if (this->Plan.hasChanges())
     this->Writer->request();
 }
--- a/libs/control/src/LeaderTaskImpl.h
+++ b/libs/control/src/LeaderTaskImpl.h
@@ -29,6 +29,7 @@
     WorkerDirectory &Directory;
     LeaderRole &Role;
     Log &Events;
+    Metrics &Figures;
   };
 
   Term(const Ports &Links, const LeaderTerms &Terms, int64_t Fence);
@@ -40,6 +41,9 @@
   bool isServing() const { return this->IsServing; }
   size_t jobCount() const { return this->Plan.jobCount(); }
   size_t workerCount() const { return this->Drivers.size(); }
+  std::map<std::string, int64_t> waitingByQueue() const {
+    return this->Plan.waitingByQueue();
+  }
 
   // WorkerDriver::Owner
   absl::Duration leaseAllowance() const override;
--- a/libs/control/tests/CallerDeskTest.cpp
+++ b/libs/control/tests/CallerDeskTest.cpp
@@ -11,7 +11,8 @@
 
 class CallerDeskTest : public testing::Test {
 protected:
-  CallerDeskTest() : Desk(World.Exec, World.Store, World.Events) {
+  CallerDeskTest()
+      : Desk(World.Exec, World.Store, World.Events, World.Figures) {
     this->Desk.configurationChanged(this->World.Table);
   }
 
@@ -80,7 +81,8 @@
   EXPECT_EQ(errorKindOf(*this->submit(Caller)), ErrorKind::NotFound);
   Caller = this->World.caller("not-an-id");
   EXPECT_EQ(errorKindOf(*this->submit(Caller)), ErrorKind::InvalidRequest);
-  CallerDesk Fresh(this->World.Exec, this->World.Store, this->World.Events);
+  CallerDesk Fresh(this->World.Exec, this->World.Store, this->World.Events,
+                   this->World.Figures);
   Fresh.submit(this->World.caller(Id), this->World.job(1, 1),
                [](absl::Status Status) {
                  EXPECT_EQ(errorKindOf(Status), ErrorKind::NotReady);
@@ -89,8 +91,9 @@
 
 TEST_F(CallerDeskTest, UnknownJobIsGone) {
   ControlWorld::HostNode Node;
-  Node.Desk = std::make_unique<CallerDesk>(this->World.Exec, this->World.Store,
-                                           this->World.Events);
+  Node.Desk =
+      std::make_unique<CallerDesk>(this->World.Exec, this->World.Store,
+                                   this->World.Events, this->World.Figures);
   Node.Desk->configurationChanged(this->World.Table);
   EXPECT_EQ(errorKindOf(this->World.state(Node, Id).status()), ErrorKind::Gone);
   this->World.cancel(Node, Id);
--- a/libs/control/tests/ControlWorld.cpp
+++ b/libs/control/tests/ControlWorld.cpp
@@ -71,15 +71,15 @@
   Node.Store = std::make_unique<FreezableStore>(*Node.Exec, this->Store);
   Node.Workers =
       std::make_unique<FreezableWorkers>(*Node.Exec, this->Farm, this->Farm);
-  Node.Desk =
-      std::make_unique<CallerDesk>(*Node.Exec, *Node.Store, this->Events);
+  Node.Desk = std::make_unique<CallerDesk>(*Node.Exec, *Node.Store,
+                                           this->Events, this->Figures);
   Node.Desk->configurationChanged(this->Table);
   LeaderTerms Terms;
   Terms.WorkerLease = this->Farm.MaxLease;
   Terms.Scheduling.StopTimeout = this->Farm.StopTime;
-  Node.Task =
-      std::make_unique<LeaderTask>(*Node.Exec, *Node.Store, *Node.Workers,
-                                   *Node.Workers, Terms, this->Events);
+  Node.Task = std::make_unique<LeaderTask>(*Node.Exec, *Node.Store,
+                                           *Node.Workers, *Node.Workers, Terms,
+                                           this->Events, this->Figures);
   Node.Task->configurationChanged(this->Table);
   Node.Role =
       LeaderRole::Builder(*Node.Exec, *Node.Store, this->Clock, this->Events)
--- a/libs/control/tests/ControlWorld.h
+++ b/libs/control/tests/ControlWorld.h
@@ -13,6 +13,7 @@
 #include "control/testing/FakeWorkerFarm.h"
 #include "fleet/QueueTable.h"
 #include "observe/Log.h"
+#include "observe/Metrics.h"
 
 #include <map>
 #include <memory>
@@ -72,6 +73,7 @@
 
   VirtualExecutor Exec;
   Log Events;
+  Metrics Figures;
   VirtualBootClock Clock;
   FakeCoordinationStore Store;
   FakeWorkerFarm Farm;
--- /dev/null
+++ b/libs/control/tests/MetricsTest.cpp
@@ -0,0 +1,169 @@
+#include "ControlWorld.h"
+#include "base/ErrorKind.h"
+#include "control/MeteredGateway.h"
+#include "control/MeteredStore.h"
+
+#include <gtest/gtest.h>
+
+#include <cctype>
+#include <cstdlib>
+#include <set>
+#include <sstream>
+
+using namespace vanillayard;
+using StoreFault = FakeCoordinationStore::Fault;
+
+static const std::string Id = "5c0e7a21d94b36f8";
+
+namespace {
+
+/// Reads the text exposition format as Prometheus does: HELP and TYPE before
+/// the samples of a family, one number a sample, no series twice.
+class ExpositionReader {
+public:
+  explicit ExpositionReader(const std::string &Text) {
+    std::istringstream Lines(Text);
+    for (std::string Line; std::getline(Lines, Line);)
+      this->readLine(Line);
+  }
+
+  std::string Fault;
+  std::map<std::string, double> Samples;
+
+private:
+  void fail(const std::string &Line) {
+    if (this->Fault.empty())
+      this->Fault = Line;
+  }
+
+  void readLine(const std::string &Line) {
+    std::istringstream Words(Line);
+    std::string Hash, Keyword, Name, Kind;
+    if (Line.starts_with("# TYPE ")) {
+      Words >> Hash >> Keyword >> Name >> Kind;
+      static const std::set<std::string> Kinds = {"counter", "gauge",
+                                                  "histogram"};
+      if (!Kinds.contains(Kind) || !this->Families.insert(Name).second)
+        this->fail(Line);
+      return;
+    }
+    if (Line.starts_with("# HELP "))
+      return;
+    size_t Space = Line.rfind(' ');
+    if (Space == std::string::npos)
+      return this->fail(Line);
+    std::string Series = Line.substr(0, Space);
+    char *End = nullptr;
+    std::string Number = Line.substr(Space + 1);
+    double Value = std::strtod(Number.c_str(), &End);
+    bool IsNumber = !Number.empty() && *End == '\0';
+    if (!IsNumber || !this->isOfAFamily(Series) ||
+        !this->Samples.emplace(Series, Value).second)
+      this->fail(Line);
+  }
+
+  bool isOfAFamily(const std::string &Series) const {
+    std::string Name = Series.substr(0, Series.find('{'));
+    for (const char *Suffix : {"", "_bucket", "_sum", "_count"})
+      if (Name.ends_with(Suffix) &&
+          this->Families.contains(
+              Name.substr(0, Name.size() - std::string(Suffix).size())))
+        return true;
+    return false;
+  }
+
+  std::set<std::string> Families;
+};
+
+class MetricsTest : public testing::Test {
+protected:
+  MetricsTest() {
+    this->World.addWorkers(4);
+    this->World.addHost("a");
+    this->World.run(absl::Seconds(1));
+  }
+
+  std::map<std::string, double> samples() {
+    ExpositionReader Read(this->World.Figures.exposition());
+    EXPECT_EQ(Read.Fault, "");
+    return Read.Samples;
+  }
+
+  ControlWorld World;
+};
+
+} // namespace
+
+// Guards against a dashboard that shows nothing of a job's way.
+TEST_F(MetricsTest, AJobIsCountedOnItsWay) {
+  this->World.submit(this->World.Hosts.at("a"), Id, this->World.job(3, 2));
+  this->World.run(absl::Seconds(3));
+  std::map<std::string, double> Samples = this->samples();
+  EXPECT_EQ(Samples["vanillayard_calls_total{account=\"windhoek\",call="
+                    "\"submit\",error=\"none\",queue=\"renders\"}"],
+            1);
+  EXPECT_EQ(Samples["vanillayard_call_seconds_count{call=\"submit\"}"], 1);
+  EXPECT_EQ(Samples["vanillayard_start_wait_seconds_count{priority=\"1\"}"], 3);
+  EXPECT_EQ(Samples["vanillayard_jobs_ended_total{queue=\"renders\",state="
+                    "\"done\"}"],
+            1);
+  EXPECT_EQ(Samples["vanillayard_role_changes_total{change=\"gained\"}"], 1);
+}
+
+// Guards against refusals that leave no trace: the store was never asked.
+TEST_F(MetricsTest, EarlyRefusalsAreCountedByReason) {
+  CallerDesk &Desk = *this->World.Hosts.at("a").Desk;
+  CallerIdentity Caller = this->World.caller(Id);
+  Caller.ApiKey = "nobody's";
+  Desk.submit(Caller, this->World.job(1, 1), [](const absl::Status &) {});
+  Caller.HostName = "elsewhere.example";
+  Desk.cancel(Caller, [](const absl::Status &) {});
+  Desk.submit(this->World.caller(Id),
+              makeError(ErrorKind::InvalidRequest, "no steps"),
+              [](const absl::Status &) {});
+  std::map<std::string, double> Samples = this->samples();
+  auto Count = [&](const std::string &Call, const std::string &Error) {
+    return Samples["vanillayard_calls_total{account=\"\",call=\"" + Call +
+                   "\",error=\"" + Error + "\",queue=\"\"}"];
+  };
+  EXPECT_EQ(Count("submit", "unauthenticated"), 1);
+  EXPECT_EQ(Count("cancel", "not_found"), 1);
+  EXPECT_EQ(Count("submit", "invalid_request"), 1);
+}
+
+TEST_F(MetricsTest, StoreCallsAreCountedByOutcome) {
+  MeteredStore Store(this->World.Exec, this->World.Store, this->World.Figures);
+  auto Read = [&] {
+    Store.get("k", [](absl::StatusOr<std::optional<StoreItem>>) {});
+    this->World.run(absl::Seconds(2));
+  };
+  Read();
+  this->World.Store.Faults = [](const std::string &) {
+    return StoreFault::Refuse;
+  };
+  Read();
+  std::map<std::string, double> Samples = this->samples();
+  EXPECT_EQ(Samples["vanillayard_store_calls_total{operation=\"get\",outcome="
+                    "\"ok\"}"],
+            1);
+  EXPECT_EQ(Samples["vanillayard_store_calls_total{operation=\"get\",outcome="
+                    "\"platform_unavailable\"}"],
+            1);
+  EXPECT_EQ(Samples["vanillayard_store_call_seconds_count{operation=\"get\"}"],
+            2);
+}
+
+TEST_F(MetricsTest, OrdersAreCountedByAnswer) {
+  MeteredGateway Gateway(this->World.Exec, this->World.Farm,
+                         this->World.Figures);
+  StopOrder Order{WorkerId("w0"), {JobId(Id), 0, 0, 0}, 1};
+  Gateway.stop({WorkerId("w0"), Endpoint()}, Order, 1 << 30, absl::Seconds(1),
+               [](const OrderReply &) {});
+  this->World.run(absl::Seconds(2));
+  std::map<std::string, double> Samples = this->samples();
+  EXPECT_EQ(Samples["vanillayard_worker_orders_total{answer=\"accepted\","
+                    "order=\"stop\"}"],
+            1);
+  EXPECT_EQ(Samples["vanillayard_worker_order_seconds_count{order=\"stop\"}"],
+            1);
+}
--- a/libs/fleet/include/fleet/FleetConfiguration.h
+++ b/libs/fleet/include/fleet/FleetConfiguration.h
@@ -22,6 +22,8 @@
   size_t MaxBodyBytes = 262144;
   absl::Duration HeaderTimeout = absl::Seconds(3);
   absl::Duration IdleTimeout = absl::Seconds(15);
+  /// Parts that could not be read and have their defaults.
+  std::vector<std::string> UnreadableParts;
 };
 
 } // namespace vanillayard
--- a/libs/fleethost/include/fleethost/FleetHost.h
+++ b/libs/fleethost/include/fleethost/FleetHost.h
@@ -18,6 +18,7 @@
 class CoordinationStore;
 class Log;
 class LoopExecutor;
+class Metrics;
 class WorkerDirectory;
 class WorkerGateway;
 
@@ -33,6 +34,7 @@
     WorkerDirectory &Directory;
     const BootClock &Clock;
     Log &Events;
+    Metrics &Figures;
   };
   /// Makes the handler of callers' requests.
   using HandlerFactory = std::function<HttpHandler(CallerDesk &Desk)>;
--- a/libs/fleethost/src/FleetHost.cpp
+++ b/libs/fleethost/src/FleetHost.cpp
@@ -3,10 +3,12 @@
 #include "control/CallerDesk.h"
 #include "control/LeaderRole.h"
 #include "control/LeaderTask.h"
+#include "fleet/QueueTable.h"
 #include "net/HttpServer.h"
 #include "net/LoopExecutor.h"
 #include "observe/Log.h"
 #include "observe/Metrics.h"
+#include "observe/ProcessUsage.h"
 
 #include <algorithm>
 #include <utility>
@@ -40,9 +42,9 @@
       : Links(Links), Options(withShortLease(std::move(Given))),
         Feed(Links.Loop, Links.Store, Links.Events, std::move(Key),
              std::move(Decode)),
-        Desk(Links.Loop, Links.Store, Links.Events),
+        Desk(Links.Loop, Links.Store, Links.Events, Links.Figures),
         Leader(Links.Loop, Links.Store, Links.Gateway, Links.Directory,
-               Options.Terms, Links.Events),
+               Options.Terms, Links.Events, Links.Figures),
         Role(LeaderRole::Builder(Links.Loop, Links.Store, Links.Clock,
                                  Links.Events)
                  .host(Options.Host)
@@ -58,6 +60,10 @@
   absl::Status listen(const HandlerFactory &MakeHandler);
   void answerReady(std::shared_ptr<HttpResponder> Responder) const;
   void answerMetrics(std::shared_ptr<HttpResponder> Responder);
+  void setGauge(const std::string &Name, const std::string &Help, double Value,
+                Metrics::Labels By = {});
+  void setConfigurationGauges();
+  void setProcessGauges();
   void finishDrain(absl::Time GiveUpAt, std::function<void()> Done);
 
   Ports Links;
@@ -66,7 +72,6 @@
   CallerDesk Desk;
   LeaderTask Leader;
   std::unique_ptr<LeaderRole> Role;
-  Metrics Figures;
   std::unique_ptr<HttpServer> CallerServer;
   std::unique_ptr<HttpServer> ReadyServer;
   std::unique_ptr<HttpServer> MetricsServer;
@@ -114,16 +119,49 @@
   Responder->respond({IsReady ? 200 : 503, {}, ""});
 }
 
+void FleetHost::Impl::setGauge(const std::string &Name, const std::string &Help,
+                               double Value, Metrics::Labels By) {
+  this->Links.Figures.gauge(Name, Help, std::move(By)).set(Value);
+}
+
+void FleetHost::Impl::setConfigurationGauges() {
+  if (auto Current = this->Feed.current())
+    this->setGauge("vanillayard_configuration_version",
+                   "version of the configuration in force",
+                   static_cast<double>(Current->configuration().Version));
+  absl::Duration Age = this->Links.Loop.now() - this->Feed.confirmedAt();
+  if (Age < absl::InfiniteDuration())
+    this->setGauge("vanillayard_configuration_confirmed_seconds",
+                   "time since the store last confirmed the configuration",
+                   absl::ToDoubleSeconds(Age));
+}
+
+void FleetHost::Impl::setProcessGauges() {
+  ProcessUsage Usage = ProcessUsage::read();
+  if (Usage.ResidentBytes)
+    this->setGauge("process_resident_memory_bytes", "memory of the process",
+                   static_cast<double>(*Usage.ResidentBytes));
+  if (Usage.OpenDescriptors)
+    this->setGauge("process_open_fds", "open file descriptors of the process",
+                   static_cast<double>(*Usage.OpenDescriptors));
+}
+
 void FleetHost::Impl::answerMetrics(std::shared_ptr<HttpResponder> Responder) {
-  this->Figures.gauge("vanillayard_leader", "1 while this host is the leader")
-      .set(this->Role->isLeader() ? 1 : 0);
-  this->Figures.gauge("vanillayard_jobs", "unfinished jobs of the leader")
-      .set(static_cast<double>(this->Leader.jobCount()));
-  this->Figures.gauge("vanillayard_workers", "workers that the leader drives")
-      .set(static_cast<double>(this->Leader.workerCount()));
+  this->setGauge("vanillayard_leader", "1 while this host is the leader",
+                 this->Role->isLeader() ? 1 : 0);
+  this->setGauge("vanillayard_jobs", "unfinished jobs of the leader",
+                 static_cast<double>(this->Leader.jobCount()));
+  this->setGauge("vanillayard_workers", "workers that the leader drives",
+                 static_cast<double>(this->Leader.workerCount()));
+  for (const auto &[Queue, Count] : this->Leader.waitingByQueue())
+    this->setGauge("vanillayard_waiting_jobs",
+                   "jobs without a schedule that have not started, by queue",
+                   static_cast<double>(Count), {{"queue", Queue}});
+  this->setConfigurationGauges();
+  this->setProcessGauges();
   HttpResponse Answer;
   Answer.Headers.add("Content-Type", "text/plain; version=0.0.4");
-  Answer.Body = this->Figures.exposition();
+  Answer.Body = this->Links.Figures.exposition();
   Responder->respond(std::move(Answer));
 }
 
--- a/libs/scheduler/include/scheduler/ProgressChange.h
+++ b/libs/scheduler/include/scheduler/ProgressChange.h
@@ -2,6 +2,7 @@
 #define VANILLAYARD_SCHEDULER_PROGRESSCHANGE_H
 
 #include "base/Ids.h"
+#include "fleet/BatchState.h"
 
 #include <string>
 
@@ -13,6 +14,9 @@
   std::string Record;
   /// The job is over; it is forgotten once this has been written.
   bool IsFinal = false;
+  BatchState State = BatchState::Queued;
+  /// Name of the job's queue.
+  std::string Queue;
 };
 
 } // namespace vanillayard
--- a/libs/scheduler/include/scheduler/StartOrder.h
+++ b/libs/scheduler/include/scheduler/StartOrder.h
@@ -4,6 +4,8 @@
 #include "base/Ids.h"
 #include "fleet/TaskKey.h"
 
+#include "absl/time/time.h"
+
 #include <cstdint>
 #include <string>
 
@@ -18,6 +20,10 @@
   std::string Specification;
   /// Checkpoint to resume from; empty to begin anew.
   std::string Checkpoint;
+  /// Priority of the job; 0 is the most urgent.
+  int Priority = 0;
+  /// How long the task's step had waited for this start.
+  absl::Duration Waited = absl::ZeroDuration();
 };
 
 } // namespace vanillayard
--- a/libs/scheduler/src/Scheduler.cpp
+++ b/libs/scheduler/src/Scheduler.cpp
@@ -105,7 +105,8 @@
       continue;
     Entry->IsDirty = false;
     Changes.push_back({Id, encodeProgress(Entry->Job, Entry->Progress),
-                       isFinal(Entry->Progress.State)});
+                       isFinal(Entry->Progress.State), Entry->Progress.State,
+                       Entry->Job.Queue});
   }
   return Changes;
 }
--- a/libs/scheduler/src/SchedulerPlan.cpp
+++ b/libs/scheduler/src/SchedulerPlan.cpp
@@ -205,9 +205,11 @@
       Entry.Progress.State = BatchState::Running;
       Entry.IsDirty = true;
     }
+    const StepEntry &Step = Entry.step(Run->Task.Occurrence, Run->Task.Step);
     Round.Starts.push_back({Run->Worker->Entry.Id, Run->Task, Run->Run,
                             Entry.Job.Specification,
-                            Entry.account(Run->Task).Checkpoint});
+                            Entry.account(Run->Task).Checkpoint,
+                            Entry.Job.Priority, Now - Step.ReadySince});
   }
   const RunRecord &First = *Group.front();
   const StepEntry &Step = this->Jobs.find(First.Task.Job)
