--- a/tools/vanillayard/src/Cli.cpp
+++ b/tools/vanillayard/src/Cli.cpp
@@ -15,7 +15,8 @@
 struct Cli::Command {
   /// One or two words.
   Arguments Words;
-  /// Names of the arguments that follow.
+  /// Names of the arguments that follow. The last one may be given several
+  /// times if its name ends with "...".
   Arguments Parameters;
   const char *Help;
   ExitCode (Cli::*Handler)(const Arguments &);
@@ -25,6 +26,13 @@
            std::equal(this->Words.begin(), this->Words.end(), Given.begin());
   }
 
+  bool accepts(const Arguments &Given) const {
+    size_t Least = this->Words.size() + this->Parameters.size();
+    bool IsOpen =
+        !this->Parameters.empty() && this->Parameters.back().ends_with("...");
+    return Given.size() == Least || (IsOpen && Given.size() > Least);
+  }
+
   std::string usage() const {
     std::string Text;
     for (const std::string &Word : this->Words)
@@ -36,7 +44,7 @@
 };
 
 std::span<const Cli::Command> Cli::commands() {
-  static const std::array<Command, 16> Table = {{
+  static const std::array<Command, 17> Table = {{
       {{"status"},
        {},
        "State of each host: generation, preset, peers, workers, queues.",
@@ -85,6 +93,11 @@
        "Events of all hosts in the Chrome trace event format.",
        &Cli::timeline},
       {{"metrics"}, {}, "Metrics of each host.", &Cli::metrics},
+      {{"explain"},
+       {"ID", "FILE..."},
+       "What the logs of all hosts say of one job, in order, and the cause of "
+       "its failure\nor delay in the last line.",
+       &Cli::explain},
       {{"warnings"},
        {},
        "Conditions that a person has to act on.",
@@ -139,8 +152,7 @@
 
 ExitCode Cli::run(const Arguments &Words) {
   const Command *Found = find(Words);
-  if (!Found ||
-      Words.size() != Found->Words.size() + Found->Parameters.size()) {
+  if (!Found || !Found->accepts(Words)) {
     this->Options.Err(help(Words));
     return ExitCode::Usage;
   }
--- a/tools/vanillayard/src/Cli.h
+++ b/tools/vanillayard/src/Cli.h
@@ -52,6 +52,7 @@
   ExitCode configurationCheck(const Arguments &Args);
   ExitCode configurationDiff(const Arguments &Args);
   ExitCode configurationApply(const Arguments &Args);
+  ExitCode explain(const Arguments &Args);
 
   /// Calls \p Handle with the answer of every host. Returns Unavailable if one
   /// of them did not answer.
