Refuse calls at once in a known outage of the store; only probe a silent store

Cause: in an outage each call was held: 0.7 s when the store refused it, up to the deadline when the store was silent, although the host knew from the calls before that nobody was served.

Change: patience with refusals counts from the start of the outage and is at most a quarter of the deadline. Once the store and two peers have left calls unanswered, calls fail unsent, and a probe each 250 ms finds the end. So the refusal is true and comes at once.

--- a/libs/control/src/CallerDesk.cpp
+++ b/libs/control/src/CallerDesk.cpp
@@ -22,11 +22,12 @@
 static constexpr size_t JobIdDigits = 16;
 /// Kept back from the caller's deadline for the answer to arrive.
 static constexpr absl::Duration AnswerTime = absl::Milliseconds(250);
-/// Largest share of the deadline that is kept back, so that a short one leaves
-/// time for the store.
-static constexpr double AnswerShare = 0.25;
-/// How long a call is tried again while the store is known not to serve this
-/// host; a caller that is told at once can reach another host.
+/// Largest share of a short deadline that is kept back, and that a call is
+/// tried again for while the store refuses it.
+static constexpr double DeadlineShare = 0.25;
+/// How long calls are tried again once the store has begun to refuse them, as
+/// some failures are over in a moment. Later calls are refused at once, so that
+/// their callers can go elsewhere.
 static constexpr absl::Duration UnavailablePatience = absl::Milliseconds(700);
 /// Pause before a call to the store is tried again.
 static constexpr absl::Duration RetryDelay = absl::Milliseconds(100);
@@ -46,6 +47,8 @@
   std::string Queue;
   absl::Time Began;
   absl::Time GiveUpAt;
+  /// When it is given up if the store has only refused it.
+  absl::Time RefuseAt;
   /// An earlier try may have had an effect.
   bool MayHaveRun = false;
   /// The caller has its answer; what comes later is of no use to it.
@@ -80,6 +83,11 @@
   /// \returns the final error otherwise.
   std::optional<absl::Status> retry(Attempt &Try, const absl::Status &Error,
                                     std::function<void(Impl &, Attempt)> Again);
+  /// A call that the store has served ends an outage.
+  void noteAnswer(const absl::Status &Status) {
+    if (Status.ok())
+      this->RefusedSince = absl::InfiniteFuture();
+  }
   void create(Attempt Try, StoreTransaction Records, ClientAccountId Account,
               DoneCallback Done);
   void readState(Attempt Try, StateCallback Done);
@@ -102,6 +110,8 @@
   Log &Events;
   Metrics &Figures;
   std::shared_ptr<const QueueTable> Table;
+  /// Since when the store has only refused calls.
+  absl::Time RefusedSince = absl::InfiniteFuture();
 };
 
 absl::StatusOr<ResolvedCall>
@@ -143,10 +153,16 @@
   absl::Duration Time = Resolved.Target->CallTimeout;
   if (Caller.Deadline > absl::ZeroDuration())
     Time = std::min(Time, Caller.Deadline);
-  absl::Duration KeptBack = std::min(AnswerTime, AnswerShare * Time);
+  absl::Duration KeptBack = std::min(AnswerTime, DeadlineShare * Time);
   absl::Time Now = this->Exec.now();
-  return {std::move(Call),       Resolved.Job, Resolved.Account,
-          Resolved.Target->Name, Now,          Now + Time - KeptBack};
+  absl::Duration Patience = std::min(UnavailablePatience, DeadlineShare * Time);
+  return {.Call = std::move(Call),
+          .Job = Resolved.Job,
+          .Account = Resolved.Account,
+          .Queue = Resolved.Target->Name,
+          .Began = Now,
+          .GiveUpAt = Now + Time - KeptBack,
+          .RefuseAt = Now + Patience};
 }
 
 static std::string outcomeOf(const absl::Status &Status) {
@@ -234,9 +250,12 @@
     return Error;
   bool IsUnavailable = errorKindOf(Error) == ErrorKind::PlatformUnavailable;
   Try.MayHaveRun |= !IsUnavailable;
+  if (IsUnavailable)
+    this->RefusedSince = std::min(this->RefusedSince, Now);
   absl::Time GiveUpAt = Try.GiveUpAt;
   if (!Try.MayHaveRun)
-    GiveUpAt = std::min(GiveUpAt, Try.Began + UnavailablePatience);
+    GiveUpAt = std::min(
+        {GiveUpAt, Try.RefuseAt, this->RefusedSince + UnavailablePatience});
   if (Now + RetryDelay < GiveUpAt) {
     std::weak_ptr<Impl> Weak = this->weak_from_this();
     this->Exec.runAfter(RetryDelay, [Weak, Try, Again = std::move(Again)] {
@@ -278,6 +297,7 @@
         std::shared_ptr<Impl> Self = Weak.lock();
         if (!Self)
           return;
+        Self->noteAnswer(Result.status());
         absl::Status Outcome = absl::OkStatus();
         if (!Result.ok()) {
           std::optional<absl::Status> Final = Self->retry(
@@ -305,6 +325,7 @@
         std::shared_ptr<Impl> Self = Weak.lock();
         if (!Self)
           return;
+        Self->noteAnswer(Result.status());
         if (!Result.ok()) {
           std::optional<absl::Status> Final = Self->retry(
               Try, Result.status(), [Done](Impl &Desk, Attempt Next) {
@@ -340,6 +361,7 @@
         std::shared_ptr<Impl> Self = Weak.lock();
         if (!Self)
           return;
+        Self->noteAnswer(Result.status());
         absl::Status Outcome = absl::OkStatus();
         if (!Result.ok()) {
           std::optional<absl::Status> Final = Self->retry(
@@ -366,6 +388,7 @@
         std::shared_ptr<Impl> Self = Weak.lock();
         if (!Self)
           return;
+        Self->noteAnswer(Result.status());
         if (!Result.ok()) {
           std::optional<absl::Status> Final =
               Self->retry(Try, Result.status(),
--- a/libs/control/tests/CallerDeskTest.cpp
+++ b/libs/control/tests/CallerDeskTest.cpp
@@ -19,11 +19,11 @@
   /// Submits with one call; nothing if there is no answer in time.
   std::optional<absl::Status> submit(const CallerIdentity &Caller,
                                      absl::Duration Time = absl::Seconds(3)) {
-    std::optional<absl::Status> Answer;
+    auto Answer = std::make_shared<std::optional<absl::Status>>();
     this->Desk.submit(Caller, this->World.job(1, 1),
-                      [&](absl::Status Status) { Answer = Status; });
+                      [Answer](absl::Status Status) { *Answer = Status; });
     this->World.run(Time);
-    return Answer;
+    return *Answer;
   }
 
   ControlWorld World;
@@ -130,3 +130,31 @@
   ASSERT_TRUE(Answer.has_value());
   EXPECT_TRUE(Answer->ok()) << *Answer;
 }
+
+// Guards against callers that wait although it is known that they cannot be
+// served, and against a refusal of everybody over a moment's failure.
+TEST_F(CallerDeskTest, KnownOutageIsRefusedAtOnce) {
+  this->World.Store.Faults = [](const std::string &) { return Fault::Refuse; };
+  EXPECT_FALSE(
+      this->submit(this->World.caller(Id), absl::Milliseconds(100)).has_value())
+      << "the first failure may be over in a moment";
+  this->World.run(absl::Seconds(1));
+  std::optional<absl::Status> Answer =
+      this->submit(this->World.caller(Id), absl::Milliseconds(50));
+  ASSERT_TRUE(Answer.has_value());
+  EXPECT_EQ(errorKindOf(*Answer), ErrorKind::PlatformUnavailable);
+  EXPECT_GT(retryAfterOf(*Answer), absl::ZeroDuration());
+  this->World.Store.Faults = nullptr;
+  EXPECT_TRUE(this->submit(this->World.caller(Id))->ok());
+}
+
+// Guards against holding a caller who waits for less than the usual patience.
+TEST_F(CallerDeskTest, PatienceIsAShareOfAShortDeadline) {
+  this->World.Store.Faults = [](const std::string &) { return Fault::Refuse; };
+  CallerIdentity Caller = this->World.caller(Id);
+  Caller.Deadline = absl::Milliseconds(400);
+  std::optional<absl::Status> Answer =
+      this->submit(Caller, absl::Milliseconds(150));
+  ASSERT_TRUE(Answer.has_value());
+  EXPECT_EQ(errorKindOf(*Answer), ErrorKind::PlatformUnavailable);
+}
--- a/libs/storerelay/include/storerelay/StorePath.h
+++ b/libs/storerelay/include/storerelay/StorePath.h
@@ -12,7 +12,12 @@
 /// not keep asking each other.
 class StorePath {
 public:
-  enum class Route { Direct, Peer };
+  enum class Route {
+    Direct,
+    Peer,
+    /// Nobody is served. Calls fail at once and nothing is sent but probes.
+    None,
+  };
   enum class Answer {
     /// The store has answered, whatever it said.
     Served,
@@ -22,16 +27,18 @@
     Missing,
   };
 
-  /// Calls without an answer in a row after which the store counts as
-  /// unreachable. One answer may be lost while the store serves this host.
+  /// Calls without an answer in a row after which the store, or the store
+  /// through peers, counts as unreachable. One answer may be lost while the
+  /// store serves.
   static constexpr int MissingBeforePeer = 2;
   /// Time between two tries to reach the store directly again.
-  static constexpr absl::Duration ProbeInterval = absl::Milliseconds(500);
-  /// Time for which peers are not asked after several of them have refused.
+  static constexpr absl::Duration ProbeInterval = absl::Milliseconds(250);
+  /// Time for which peers are not asked after they have not been served.
   static constexpr absl::Duration PeerRest = absl::Seconds(1);
 
   Route route(bool HasPeers, absl::Time Now) const;
   void directAnswered(Answer Kind);
+  void peerAnswered(Answer Kind, absl::Time Now);
   /// Peers were asked and the store served none of them.
   void peersRefused(absl::Time Now);
   /// True if the store should be tried directly now; counts as that try.
@@ -40,7 +47,10 @@
 
 private:
   bool IsDirectDown = false;
+  /// The store leaves calls unanswered, so that each would take its whole time.
+  bool IsSilent = false;
   int MissingInARow = 0;
+  int PeerMissingInARow = 0;
   absl::Time NextProbe = absl::InfinitePast();
   absl::Time AskPeersFrom = absl::InfinitePast();
 };
--- a/libs/storerelay/src/RelayedStore.cpp
+++ b/libs/storerelay/src/RelayedStore.cpp
@@ -45,10 +45,16 @@
 
   template <typename Result>
   void call(Operation<Result> Make, std::function<void(Result)> Done) {
-    if (this->route() == StorePath::Route::Direct)
+    StorePath::Route Way = this->route();
+    if (Way == StorePath::Route::Direct)
       return this->callDirectly(std::move(Make), std::move(Done));
     this->probe();
-    this->callPeer(std::move(Make), std::move(Done), 0);
+    if (Way == StorePath::Route::Peer)
+      return this->callPeer(std::move(Make), std::move(Done), 0);
+    this->Exec.post([Done = std::move(Done)] {
+      Done(makeError(ErrorKind::PlatformUnavailable,
+                     "the store answers neither this host nor others"));
+    });
   }
 
 private:
@@ -89,6 +95,7 @@
       if (!Self)
         return;
       StorePath::Answer Kind = answerOf(statusOf(Answer));
+      Self->Path.peerAnswered(Kind, Self->Exec.now());
       if (Kind != StorePath::Answer::Served)
         Self->Peers.demote(*Peer);
       if (Kind == StorePath::Answer::Refused)
--- a/libs/storerelay/src/StorePath.cpp
+++ b/libs/storerelay/src/StorePath.cpp
@@ -3,26 +3,40 @@
 namespace vanillayard {
 
 StorePath::Route StorePath::route(bool HasPeers, absl::Time Now) const {
-  bool IsPeerUseful = HasPeers && Now >= this->AskPeersFrom;
-  return this->IsDirectDown && IsPeerUseful ? Route::Peer : Route::Direct;
+  if (!this->IsDirectDown)
+    return Route::Direct;
+  if (HasPeers && Now >= this->AskPeersFrom)
+    return Route::Peer;
+  return this->IsSilent ? Route::None : Route::Direct;
 }
 
 void StorePath::directAnswered(Answer Kind) {
   switch (Kind) {
   case Answer::Served:
     this->IsDirectDown = false;
+    this->IsSilent = false;
     this->MissingInARow = 0;
     break;
   case Answer::Refused:
     this->IsDirectDown = true;
+    this->IsSilent = false;
     break;
   case Answer::Missing:
-    if (++this->MissingInARow >= MissingBeforePeer)
-      this->IsDirectDown = true;
+    if (++this->MissingInARow < MissingBeforePeer)
+      break;
+    this->IsDirectDown = true;
+    this->IsSilent = true;
     break;
   }
 }
 
+void StorePath::peerAnswered(Answer Kind, absl::Time Now) {
+  if (Kind != Answer::Missing)
+    this->PeerMissingInARow = 0;
+  else if (++this->PeerMissingInARow >= MissingBeforePeer)
+    this->peersRefused(Now);
+}
+
 void StorePath::peersRefused(absl::Time Now) {
   this->AskPeersFrom = Now + PeerRest;
 }
--- a/libs/storerelay/tests/RelayedStoreTest.cpp
+++ b/libs/storerelay/tests/RelayedStoreTest.cpp
@@ -118,6 +118,32 @@
   EXPECT_EQ(Peer->Calls, Before);
 }
 
+// Guards against submissions that are held, and end with an open outcome,
+// although it is known that nobody is served.
+TEST_F(RelayedStoreTest, SilentOutageIsToldAtOnce) {
+  std::shared_ptr<RefusingStore> Peer = this->addPeer();
+  Peer->Failure = ErrorKind::OutcomeUnknown;
+  this->Direct.Failure = ErrorKind::OutcomeUnknown;
+  // Two calls find the store silent, two more the peers.
+  for (int I = 0; I < 4; ++I) {
+    this->Store.get("k", [](absl::StatusOr<std::optional<StoreItem>>) {});
+    this->Exec.advance(absl::Milliseconds(1));
+  }
+  int Before = Peer->Calls;
+  absl::Status Status = absl::OkStatus();
+  this->Store.get("k", [&](absl::StatusOr<std::optional<StoreItem>> Answer) {
+    Status = Answer.status();
+  });
+  this->Exec.advance(absl::Milliseconds(1));
+  EXPECT_EQ(errorKindOf(Status), ErrorKind::PlatformUnavailable);
+  EXPECT_EQ(Peer->Calls, Before);
+  this->Direct.Failure.reset();
+  this->Exec.advance(StorePath::ProbeInterval);
+  this->Store.get("k", [](absl::StatusOr<std::optional<StoreItem>>) {});
+  this->Exec.advance(absl::Milliseconds(100));
+  EXPECT_TRUE(this->put("k").ok());
+}
+
 // Guards against a detour that outlasts its reason.
 TEST_F(RelayedStoreTest, DirectPathIsUsedAgain) {
   std::shared_ptr<RefusingStore> Peer = this->addPeer();
--- a/libs/storerelay/tests/StorePathTest.cpp
+++ b/libs/storerelay/tests/StorePathTest.cpp
@@ -41,6 +41,22 @@
   EXPECT_EQ(Path.route(true, Start), Route::Direct);
 }
 
+// Guards against callers that are held for a store that answers nobody, and
+// against a wait after it has come back.
+TEST(StorePathTest, SilentStoreIsOnlyProbed) {
+  StorePath Path;
+  Path.directAnswered(Answer::Missing);
+  Path.directAnswered(Answer::Missing);
+  EXPECT_EQ(Path.route(false, Start), Route::None);
+  EXPECT_EQ(Path.route(true, Start), Route::Peer);
+  Path.peerAnswered(Answer::Missing, Start);
+  EXPECT_EQ(Path.route(true, Start), Route::Peer);
+  Path.peerAnswered(Answer::Missing, Start);
+  EXPECT_EQ(Path.route(true, Start), Route::None);
+  Path.directAnswered(Answer::Served);
+  EXPECT_EQ(Path.route(true, Start), Route::Direct);
+}
+
 // Guards against hosts that keep asking each other while the store is down.
 TEST(StorePathTest, PeersRestAfterTheyHaveRefused) {
   StorePath Path;
