--- a/libs/control/include/control/RecordKeys.h
+++ b/libs/control/include/control/RecordKeys.h
@@ -19,7 +19,7 @@
 /// | vy/progress/ID   | state and progress; created with the job | leader |
 /// | vy/workers       | workers that may hold runs           | leader |
 /// | vy/waiting       | jobs that have not started, by queue | leader |
-/// | vy/host/NAME     | where other hosts reach the host, under its lease | host |
+/// | vy/host/NAME     | where others reach the host, leased   | each host |
 class RecordKeys {
 public:
   static constexpr std::string_view Leader = "vy/leader";
--- a/libs/control/src/LeaderTaskImpl.cpp
+++ b/libs/control/src/LeaderTaskImpl.cpp
@@ -186,6 +186,10 @@
   return this->Links.Role.leaseAllowance(this->Terms.WorkerLease);
 }
 
+bool LeaderTask::Term::mayStart() const {
+  return this->Links.Role.mayStart();
+}
+
 bool LeaderTask::Term::hasRuns(const WorkerId &Worker) const {
   return this->Plan.runsOn(Worker) > 0;
 }
@@ -314,7 +318,7 @@
 
 void LeaderTask::Term::plan() {
   // Without a confirmed role another leader may start the same tasks.
-  if (!this->Links.Role.mayStart())
+  if (!this->mayStart())
     return;
   Orders Round = this->Plan.plan(this->now());
   for (const StopOrder &Order : Round.Stops) {
--- a/libs/control/src/WorkerDriver.cpp
+++ b/libs/control/src/WorkerDriver.cpp
@@ -9,8 +9,14 @@
 
 /// Longest wait of a renewal for the end of a run. The platform's upper limit.
 static constexpr absl::Duration RenewWait = absl::Milliseconds(2000);
-/// Time for the answer to an order, and to a renewal beyond its wait.
+/// Time for the answer to a stop, and to a renewal beyond its wait.
 static constexpr absl::Duration CallTimeout = absl::Milliseconds(1000);
+/// Time for the answer to a start, which workers give in milliseconds. All
+/// sendings together stay below the time for which the members of a gang wait
+/// for each other, 3 s in the platform's settings.
+static constexpr absl::Duration StartTimeout = absl::Milliseconds(500);
+/// Further sendings of a start that is not answered.
+static constexpr int MaxStartRepeats = 2;
 /// A call without an answer may be carried out this much later. From the
 /// platform's description of late orders, 12 s, and the time of a call.
 static constexpr absl::Duration LongestOrderDelay = absl::Seconds(13);
@@ -231,33 +237,42 @@
 
 void WorkerDriver::releaseStarts() {
   for (const StartOrder &Order : std::exchange(this->HeldStarts, {})) {
-    if (this->mayTakeRuns())
+    if (this->mayTakeRuns() && this->Target.mayStart())
       this->sendStart(Order);
     else
       this->Target.startAnswered(Order, OrderAnswer::Unavailable);
   }
 }
 
-void WorkerDriver::sendStart(const StartOrder &Order) {
+void WorkerDriver::sendStart(const StartOrder &Order, int Repeats) {
   ++this->StartsUnderWay;
   absl::Time SentAt = this->Exec.now();
-  this->Gateway.start(
-      this->target(), Order, this->Target.fence(), this->leaseUntil(),
-      CallTimeout,
-      [Weak = this->weak_from_this(), Order, SentAt](const OrderReply &Reply) {
-        std::shared_ptr<WorkerDriver> Self = Weak.lock();
-        if (Self && !Self->IsClosed)
-          Self->startAnswered(Order, Reply, SentAt);
-      });
+  this->Gateway.start(this->target(), Order, this->Target.fence(),
+                      this->leaseUntil(), StartTimeout,
+                      [Weak = this->weak_from_this(), Order, SentAt,
+                       Repeats](const OrderReply &Reply) {
+                        std::shared_ptr<WorkerDriver> Self = Weak.lock();
+                        if (Self && !Self->IsClosed)
+                          Self->startAnswered(Order, Reply, SentAt, Repeats);
+                      });
 }
 
-void WorkerDriver::startAnswered(const StartOrder &Order,
-                                 const OrderReply &Reply, absl::Time SentAt) {
+void WorkerDriver::startAnswered(const StartOrder &Order, OrderReply Reply,
+                                 absl::Time SentAt, int Repeats) {
   --this->StartsUnderWay;
   bool IsNewLife =
       Reply.Clock && this->isEarlierThanKnown(*Reply.Clock, SentAt);
   if (Reply.Clock && !IsNewLife)
     this->noteClock(*Reply.Clock);
+  // The worker starts a run once, however often it is told to.
+  bool MayRepeat = Repeats < MaxStartRepeats && this->Target.mayStart();
+  if (Reply.Answer == OrderAnswer::Unknown && MayRepeat)
+    return this->sendStart(Order, Repeats + 1);
+  // A refusal of a repeated order says nothing of the sendings before it: the
+  // run may have begun and ended, or may still begin.
+  if (Repeats > 0 && Reply.Answer != OrderAnswer::Accepted &&
+      Reply.Answer != OrderAnswer::Fenced)
+    Reply.Answer = OrderAnswer::Unknown;
   if (IsNewLife || Reply.Answer == OrderAnswer::Unknown ||
       Reply.Answer == OrderAnswer::WrongIncarnation)
     this->suspect();
--- a/libs/control/src/WorkerDriver.h
+++ b/libs/control/src/WorkerDriver.h
@@ -32,6 +32,8 @@
     /// Longest time from now for which the lease may run; zero or less if
     /// none may be given.
     virtual absl::Duration leaseAllowance() const = 0;
+    /// The role is confirmed, so that nobody else starts the same runs.
+    virtual bool mayStart() const = 0;
     virtual int64_t fence() const = 0;
     virtual bool hasRuns(const WorkerId &Worker) const = 0;
     /// \param AskedAt when the report was asked for.
@@ -86,9 +88,10 @@
   WorkerTarget target() const { return {this->Entry.Id, this->Entry.Address}; }
   void noteClock(absl::Duration Clock);
   bool isEarlierThanKnown(absl::Duration Reading, absl::Time SentAt) const;
-  void sendStart(const StartOrder &Order);
-  void startAnswered(const StartOrder &Order, const OrderReply &Reply,
-                     absl::Time SentAt);
+  /// \param Repeats earlier sendings of this order that were not answered.
+  void sendStart(const StartOrder &Order, int Repeats = 0);
+  void startAnswered(const StartOrder &Order, OrderReply Reply,
+                     absl::Time SentAt, int Repeats);
   void releaseStarts();
   void reset(int64_t Incarnation);
   void restForLateAcknowledgement();
--- a/libs/control/tests/LeaderFuzzTest.cpp
+++ b/libs/control/tests/LeaderFuzzTest.cpp
@@ -352,8 +352,10 @@
 
 // Seeds that have failed. 1993311897: a worker restarted unnoticed, ran a task
 // and forgot its end because of an acknowledgement for its earlier life.
+// 501942518: a leader that had been suspended repeated a start although its
+// role was not confirmed any more.
 TEST(LeaderFuzzTest, SeedsThatHaveFailed) {
-  for (uint32_t Seed : {1993311897U})
+  for (uint32_t Seed : {1993311897U, 501942518U})
     EXPECT_EQ(violationsOf(Seed), "") << Seed;
 }
 
--- a/libs/control/tests/LeaderTaskTest.cpp
+++ b/libs/control/tests/LeaderTaskTest.cpp
@@ -270,3 +270,26 @@
   EXPECT_EQ(this->repeatedTasks(), 0U);
   EXPECT_EQ(*this->World.state(this->host("a"), Second), BatchState::Done);
 }
+
+// Guards against a gang that is stopped, and starts again seconds later, over
+// one start without an answer. The order may be repeated, as the worker starts
+// a run only once.
+TEST_F(LeaderTaskTest, UnansweredStartIsRepeated) {
+  BatchJob Job = this->World.job(3, 8);
+  Job.Steps[0].IsGang = true;
+  bool IsFirst = true;
+  FakeWorkerFarm &Farm = this->World.Farm;
+  Farm.Faults = [&IsFirst](const std::string &Call, const WorkerId &) {
+    return Call == "start" && std::exchange(IsFirst, false)
+               ? OrderFault::ApplyLate
+               : OrderFault::None;
+  };
+  Farm.Durations = [](const TaskKey &) { return absl::Milliseconds(500); };
+  this->World.submit(this->host("a"), Id, Job);
+  this->World.run(absl::Milliseconds(1200));
+  EXPECT_EQ(*this->World.state(this->host("a"), Id), BatchState::Done);
+  // The late order arrives when the run is over.
+  this->World.run(absl::Seconds(5));
+  EXPECT_EQ(Farm.BegunRuns.size(), 3U);
+  EXPECT_EQ(Farm.Calls["stop"], 0);
+}
