Stop a run again that is still listed after its stop; drop starts not meant any more

Cause (leader's fuzz): a member of a gang could not be started, so the others were stopped and their workers answered. One of them restarted, got the repeated start of its member, and ran it: the repetition did not look whether the run was to be stopped, and an answered stop was never sent again. The run went on under renewed leases, and the job never ended.

Change: starts that are held or repeated are sent only while they are still meant. A run that a report lists although its stop was answered longer ago than a stop takes is stopped again. StopIsRepeatedIfTheRunIsStillThere fails without that; the seed is a regression case.

--- a/libs/control/src/LeaderTaskImpl.cpp
+++ b/libs/control/src/LeaderTaskImpl.cpp
@@ -186,8 +186,8 @@
   return this->Links.Role.leaseAllowance(this->Terms.WorkerLease);
 }
 
-bool LeaderTask::Term::mayStart() const {
-  return this->Links.Role.mayStart();
+bool LeaderTask::Term::mayStart(const StartOrder &Order) const {
+  return this->Links.Role.mayStart() && this->Plan.isStartWanted(Order);
 }
 
 bool LeaderTask::Term::hasRuns(const WorkerId &Worker) const {
@@ -318,7 +318,7 @@
 
 void LeaderTask::Term::plan() {
   // Without a confirmed role another leader may start the same tasks.
-  if (!this->mayStart())
+  if (!this->Links.Role.mayStart())
     return;
   Orders Round = this->Plan.plan(this->now());
   for (const StopOrder &Order : Round.Stops) {
--- a/libs/control/src/LeaderTaskImpl.h
+++ b/libs/control/src/LeaderTaskImpl.h
@@ -47,7 +47,7 @@
 
   // WorkerDriver::Owner
   absl::Duration leaseAllowance() const override;
-  bool mayStart() const override;
+  bool mayStart(const StartOrder &Order) const override;
   int64_t fence() const override { return this->Fence; }
   bool hasRuns(const WorkerId &Worker) const override;
   void reported(const WorkerId &Worker, const WorkerReport &Report,
--- a/libs/control/src/MeteredGateway.cpp
+++ b/libs/control/src/MeteredGateway.cpp
@@ -19,14 +19,14 @@
 WorkerGateway::OrderCallback MeteredGateway::timed(std::string_view Order,
                                                    OrderCallback Done) {
   return [this, Order, Begun = this->Exec.now(),
-          Done = std::move(Done)](OrderReply Reply) {
+          Done = std::move(Done)](const OrderReply &Reply) {
     this->count(Order, Reply.Answer);
     this->Figures
         .histogram("vanillayard_worker_order_seconds",
                    "time to a worker's answer by order",
                    {{"order", std::string(Order)}})
         .record(this->Exec.now() - Begun);
-    Done(std::move(Reply));
+    Done(Reply);
   };
 }
 
--- a/libs/control/src/WorkerDriver.cpp
+++ b/libs/control/src/WorkerDriver.cpp
@@ -237,7 +237,7 @@
 
 void WorkerDriver::releaseStarts() {
   for (const StartOrder &Order : std::exchange(this->HeldStarts, {})) {
-    if (this->mayTakeRuns() && this->Target.mayStart())
+    if (this->mayTakeRuns() && this->Target.mayStart(Order))
       this->sendStart(Order);
     else
       this->Target.startAnswered(Order, OrderAnswer::Unavailable);
@@ -265,7 +265,7 @@
   if (Reply.Clock && !IsNewLife)
     this->noteClock(*Reply.Clock);
   // The worker starts a run once, however often it is told to.
-  bool MayRepeat = Repeats < MaxStartRepeats && this->Target.mayStart();
+  bool MayRepeat = Repeats < MaxStartRepeats && this->Target.mayStart(Order);
   if (Reply.Answer == OrderAnswer::Unknown && MayRepeat)
     return this->sendStart(Order, Repeats + 1);
   // A refusal of a repeated order says nothing of the sendings before it: the
--- a/libs/control/src/WorkerDriver.h
+++ b/libs/control/src/WorkerDriver.h
@@ -32,8 +32,9 @@
     /// Longest time from now for which the lease may run; zero or less if
     /// none may be given.
     virtual absl::Duration leaseAllowance() const = 0;
-    /// The role is confirmed, so that nobody else starts the same runs.
-    virtual bool mayStart() const = 0;
+    /// The order may be sent: it is still meant, and the role is confirmed, so
+    /// that nobody else starts the same runs.
+    virtual bool mayStart(const StartOrder &Order) const = 0;
     virtual int64_t fence() const = 0;
     virtual bool hasRuns(const WorkerId &Worker) const = 0;
     /// \param AskedAt when the report was asked for.
--- a/libs/control/tests/LeaderFuzzTest.cpp
+++ b/libs/control/tests/LeaderFuzzTest.cpp
@@ -353,9 +353,10 @@
 // Seeds that have failed. 1993311897: a worker restarted unnoticed, ran a task
 // and forgot its end because of an acknowledgement for its earlier life.
 // 501942518: a leader that had been suspended repeated a start although its
-// role was not confirmed any more.
+// role was not confirmed any more. 2122127322: a worker that restarted after a
+// stop was told to start the same run again, and was not told to stop it.
 TEST(LeaderFuzzTest, SeedsThatHaveFailed) {
-  for (uint32_t Seed : {1993311897U, 501942518U})
+  for (uint32_t Seed : {1993311897U, 501942518U, 2122127322U})
     EXPECT_EQ(violationsOf(Seed), "") << Seed;
 }
 
--- a/libs/scheduler/include/scheduler/Scheduler.h
+++ b/libs/scheduler/include/scheduler/Scheduler.h
@@ -76,6 +76,9 @@
   /// Runs that the worker may hold.
   size_t runsOn(const WorkerId &Worker) const;
 
+  /// The order is still meant: its run has neither been confirmed nor is to be
+  /// stopped.
+  bool isStartWanted(const StartOrder &Order) const;
   void startAnswered(const StartOrder &Order, OrderAnswer Answer,
                      absl::Time Now);
   /// \param IsAnswered the worker has carried out the stop.
--- a/libs/scheduler/src/SchedulerImpl.h
+++ b/libs/scheduler/src/SchedulerImpl.h
@@ -30,7 +30,7 @@
                     absl::Time Now);
   void noteWorkerFailure(WorkerState &Worker, absl::Time Now);
   void takeRunning(WorkerState &Worker, const RunningTask &Task,
-                   absl::Time Now);
+                   absl::Time AskedAt, absl::Time Now);
   void endUnlistedRuns(WorkerState &Worker, const WorkerReport &Report,
                        absl::Time AskedAt);
   void logJob(const JobEntry &Entry, std::string_view Message,
--- a/libs/scheduler/src/SchedulerReports.cpp
+++ b/libs/scheduler/src/SchedulerReports.cpp
@@ -189,7 +189,7 @@
 }
 
 void Scheduler::Impl::takeRunning(WorkerState &Worker, const RunningTask &Task,
-                                  absl::Time Now) {
+                                  absl::Time AskedAt, absl::Time Now) {
   JobEntry *Entry = this->Jobs.find(Task.Task.Job);
   bool IsTaskKnown =
       Entry && Entry->Progress.contains(Task.Task.Occurrence, Task.Task.Step,
@@ -197,6 +197,11 @@
   RunRecord *Run = this->Fleet.runOf(Task.Task);
   if (Run && Run->Worker == &Worker && Run->Run == Task.Run) {
     Run->IsUncertain = false;
+    // A worker that started anew after the stop knows nothing of it.
+    bool IsStopLost = Run->IsStopAnswered &&
+                      AskedAt > Run->AnsweredAt + this->Terms.StopTimeout;
+    if (IsStopLost)
+      Run->IsStopAnswered = false;
     if (IsTaskKnown && !Task.Checkpoint.empty())
       Entry->account(Task.Task).Checkpoint = Task.Checkpoint;
     return;
@@ -276,7 +281,7 @@
     I.applyEnd(*Found, End, Now);
   }
   for (const RunningTask &Task : Report.Running)
-    I.takeRunning(*Found, Task, Now);
+    I.takeRunning(*Found, Task, AskedAt, Now);
   I.endUnlistedRuns(*Found, Report, AskedAt);
 }
 
@@ -301,6 +306,13 @@
                    {{"worker", Worker}, {"runs", this->runsOn(Worker)}});
 }
 
+bool Scheduler::isStartWanted(const StartOrder &Order) const {
+  const RunRecord *Run = this->Implementation->Fleet.runOf(Order.Task);
+  return Run && Run->Run == Order.Run &&
+         Run->Worker->Entry.Id == Order.Worker &&
+         Run->Phase == RunPhase::Starting;
+}
+
 void Scheduler::startAnswered(const StartOrder &Order, OrderAnswer Answer,
                               absl::Time Now) {
   Impl &I = *this->Implementation;
--- a/libs/scheduler/tests/SchedulerTest.cpp
+++ b/libs/scheduler/tests/SchedulerTest.cpp
@@ -483,3 +483,21 @@
   EXPECT_GT(Baseline, 20U);
   EXPECT_LT(WithHeadroom, Baseline / 4);
 }
+
+// Guards against a run that goes on for ever: the worker restarted after it had
+// answered the stop, and carried out a start that was under way.
+TEST(SchedulerTest, StopIsRepeatedIfTheRunIsStillThere) {
+  SchedulerBench Bench;
+  Bench.addWorker("w1");
+  Bench.add(Bench.job("j1", 1, 8));
+  Orders First = Bench.round();
+  Bench.Plan.cancelJob(JobId("j1"), Bench.Exec.now());
+  ASSERT_EQ(Bench.round().Stops.size(), 1U);
+  Bench.Exec.advance(absl::Seconds(2));
+  WorkerReport Report;
+  Report.Incarnation = 1;
+  Report.Running.push_back({First.Starts[0].Task, First.Starts[0].Run, ""});
+  Bench.Plan.reportReceived(WorkerId("w1"), Report, Bench.Exec.now(),
+                            Bench.Exec.now());
+  EXPECT_EQ(Bench.round().Stops.size(), 1U);
+}
--- a/libs/storerelay/src/RelayCodec.cpp
+++ b/libs/storerelay/src/RelayCodec.cpp
@@ -33,8 +33,8 @@
       Row.__set_lease(Put.Lease);
     Puts.push_back(std::move(Row));
   }
-  Out.__set_expected(std::move(Expected));
-  Out.__set_puts(std::move(Puts));
+  Out.__set_expected(Expected);
+  Out.__set_puts(Puts);
   Out.__set_removes(In.Removes);
 }
 
@@ -111,7 +111,7 @@
       Row.__set_deleted(true);
     Items.push_back(std::move(Row));
   }
-  Out.__set_items(std::move(Items));
+  Out.__set_items(Items);
   return codec().write(Out);
 }
 
