--- a/libs/control/src/MeteredStore.cpp
+++ b/libs/control/src/MeteredStore.cpp
@@ -3,20 +3,12 @@
 #include "base/ErrorKind.h"
 #include "base/Executor.h"
 #include "observe/Metrics.h"
+#include "store/ResultStatus.h"
 
 #include <utility>
 
 namespace vanillayard {
 
-static const absl::Status &statusOf(const absl::Status &Result) {
-  return Result;
-}
-
-template <typename T>
-static const absl::Status &statusOf(const absl::StatusOr<T> &Result) {
-  return Result.status();
-}
-
 void MeteredStore::count(std::string_view Operation,
                          const absl::Status &Status) {
   std::string Outcome =
@@ -35,7 +27,7 @@
                       std::function<void(Result)> Done) {
   return [this, Operation, Begun = this->Exec.now(),
           Done = std::move(Done)](Result Answer) {
-    this->count(Operation, statusOf(Answer));
+    this->count(Operation, resultStatus(Answer));
     this->Figures
         .histogram("vanillayard_store_call_seconds",
                    "time to the store's answer by operation",
--- a/libs/control/tests/ControlWorld.h
+++ b/libs/control/tests/ControlWorld.h
@@ -4,13 +4,13 @@
 #include "FreezableExecutor.h"
 #include "FreezableStore.h"
 #include "FreezableWorkers.h"
-#include "base/BootClock.h"
 #include "base/VirtualExecutor.h"
 #include "control/CallerDesk.h"
 #include "control/LeaderRole.h"
 #include "control/LeaderTask.h"
 #include "control/testing/FakeCoordinationStore.h"
 #include "control/testing/FakeWorkerFarm.h"
+#include "control/testing/VirtualBootClock.h"
 #include "fleet/QueueTable.h"
 #include "observe/Log.h"
 #include "observe/Metrics.h"
@@ -22,18 +22,6 @@
 
 namespace vanillayard {
 
-/// A boot clock that follows a virtual executor.
-class VirtualBootClock final : public BootClock {
-public:
-  explicit VirtualBootClock(const Executor &Exec) : Exec(Exec) {}
-  absl::Duration now() const override {
-    return this->Exec.now() - absl::UnixEpoch();
-  }
-
-private:
-  const Executor &Exec;
-};
-
 /// Entry hosts over a store and workers in memory, on a virtual clock.
 class ControlWorld {
 public:
--- a/libs/control/tests/FreezableExecutor.h
+++ b/libs/control/tests/FreezableExecutor.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <utility>
 #include <vector>
 
 namespace vanillayard {
@@ -21,9 +22,12 @@
   TimerId runAfter(absl::Duration Delay, std::function<void()> Work) override;
   void cancel(TimerId Timer) override;
 
-  /// Runs \p Work now, or when the host runs on.
-  void deliver(std::function<void()> Work) {
-    this->Shared->deliver(std::move(Work));
+  /// A callback that runs when the host does. May outlive the host.
+  template <typename Result>
+  std::function<void(Result)> delayed(std::function<void(Result)> Done) const {
+    return [State = this->Shared, Done = std::move(Done)](Result Answer) {
+      State->deliver([Done, Answer = std::move(Answer)] { Done(Answer); });
+    };
   }
 
   void freeze();
--- a/libs/control/tests/FreezableStore.h
+++ b/libs/control/tests/FreezableStore.h
@@ -14,39 +14,32 @@
       : Exec(Exec), Inner(Inner) {}
 
   void get(const std::string &Key, GetCallback Done) override {
-    this->Inner.get(Key, this->delayed(std::move(Done)));
+    this->Inner.get(Key, this->Exec.delayed(std::move(Done)));
   }
   void list(const std::string &Prefix, ListCallback Done) override {
-    this->Inner.list(Prefix, this->delayed(std::move(Done)));
+    this->Inner.list(Prefix, this->Exec.delayed(std::move(Done)));
   }
   void awaitChanges(const std::string &Prefix, int64_t After,
                     absl::Duration Wait, ChangesCallback Done) override {
     this->Inner.awaitChanges(Prefix, After, Wait,
-                             this->delayed(std::move(Done)));
+                             this->Exec.delayed(std::move(Done)));
   }
   void commit(StoreTransaction Transaction, CommitCallback Done) override {
-    this->Inner.commit(std::move(Transaction), this->delayed(std::move(Done)));
+    this->Inner.commit(std::move(Transaction),
+                       this->Exec.delayed(std::move(Done)));
   }
   void grantLease(absl::Duration TimeToLive, LeaseCallback Done) override {
-    this->Inner.grantLease(TimeToLive, this->delayed(std::move(Done)));
+    this->Inner.grantLease(TimeToLive, this->Exec.delayed(std::move(Done)));
   }
   void keepLease(int64_t Lease, DoneCallback Done) override {
-    this->Inner.keepLease(Lease, this->delayed(std::move(Done)));
+    this->Inner.keepLease(Lease, this->Exec.delayed(std::move(Done)));
   }
   void endLease(int64_t Lease, DoneCallback Done) override {
-    this->Inner.endLease(Lease, this->delayed(std::move(Done)));
+    this->Inner.endLease(Lease, this->Exec.delayed(std::move(Done)));
   }
 
 private:
-  template <typename Result>
-  std::function<void(Result)> delayed(std::function<void(Result)> Done) {
-    return [Exec = this->Exec, Done = std::move(Done)](Result Answer) mutable {
-      Exec.deliver([Done, Answer = std::move(Answer)] { Done(Answer); });
-    };
-  }
-
-  /// Copies share their state, which outlives the host.
-  FreezableExecutor Exec;
+  FreezableExecutor &Exec;
   CoordinationStore &Inner;
 };
 
--- a/libs/control/tests/FreezableWorkers.h
+++ b/libs/control/tests/FreezableWorkers.h
@@ -18,33 +18,25 @@
   void renew(const WorkerTarget &Target, const Renewal &Request,
              absl::Duration Timeout, RenewCallback Done) override {
     this->Gateway.renew(Target, Request, Timeout,
-                        this->delayed(std::move(Done)));
+                        this->Exec.delayed(std::move(Done)));
   }
   void start(const WorkerTarget &Target, const StartOrder &Order, int64_t Fence,
              absl::Duration LeaseUntil, absl::Duration Timeout,
              OrderCallback Done) override {
     this->Gateway.start(Target, Order, Fence, LeaseUntil, Timeout,
-                        this->delayed(std::move(Done)));
+                        this->Exec.delayed(std::move(Done)));
   }
   void stop(const WorkerTarget &Target, const StopOrder &Order, int64_t Fence,
             absl::Duration Timeout, OrderCallback Done) override {
     this->Gateway.stop(Target, Order, Fence, Timeout,
-                       this->delayed(std::move(Done)));
+                       this->Exec.delayed(std::move(Done)));
   }
   void fetch(Callback Done) override {
-    this->Directory.fetch(this->delayed(std::move(Done)));
+    this->Directory.fetch(this->Exec.delayed(std::move(Done)));
   }
 
 private:
-  template <typename Result>
-  std::function<void(Result)> delayed(std::function<void(Result)> Done) {
-    return [Exec = this->Exec, Done = std::move(Done)](Result Answer) mutable {
-      Exec.deliver([Done, Answer = std::move(Answer)] { Done(Answer); });
-    };
-  }
-
-  /// Copies share their state, which outlives the host.
-  FreezableExecutor Exec;
+  FreezableExecutor &Exec;
   WorkerGateway &Gateway;
   WorkerDirectory &Directory;
 };
--- /dev/null
+++ b/libs/store/include/store/ResultStatus.h
@@ -0,0 +1,20 @@
+#ifndef VANILLAYARD_STORE_RESULTSTATUS_H
+#define VANILLAYARD_STORE_RESULTSTATUS_H
+
+#include "absl/status/statusor.h"
+
+namespace vanillayard {
+
+/// The status of a call to the store, whatever the call returns.
+inline const absl::Status &resultStatus(const absl::Status &Result) {
+  return Result;
+}
+
+template <typename T>
+const absl::Status &resultStatus(const absl::StatusOr<T> &Result) {
+  return Result.status();
+}
+
+} // namespace vanillayard
+
+#endif
--- a/libs/storerelay/include/storerelay/StorePath.h
+++ b/libs/storerelay/include/storerelay/StorePath.h
@@ -30,7 +30,7 @@
   /// Calls without an answer in a row after which the store, or the store
   /// through peers, counts as unreachable. One answer may be lost while the
   /// store serves.
-  static constexpr int MissingBeforePeer = 2;
+  static constexpr int MissingBeforeDown = 2;
   /// Time between two tries to reach the store directly again.
   static constexpr absl::Duration ProbeInterval = absl::Milliseconds(250);
   /// Time for which peers are not asked after they have not been served.
@@ -39,8 +39,8 @@
   Route route(bool HasPeers, absl::Time Now) const;
   void directAnswered(Answer Kind);
   void peerAnswered(Answer Kind, absl::Time Now);
-  /// Peers were asked and the store served none of them.
-  void peersRefused(absl::Time Now);
+  /// The store has served none of the peers that were asked.
+  void peersNotServed(absl::Time Now);
   /// True if the store should be tried directly now; counts as that try.
   bool takeProbe(absl::Time Now);
   bool isDirectDown() const { return this->IsDirectDown; }
--- a/libs/storerelay/src/RelayedStore.cpp
+++ b/libs/storerelay/src/RelayedStore.cpp
@@ -4,6 +4,7 @@
 #include "base/Executor.h"
 #include "control/RecordKeys.h"
 #include "observe/Log.h"
+#include "store/ResultStatus.h"
 #include "storerelay/StorePath.h"
 #include "storerelay/StorePeers.h"
 
@@ -12,15 +13,6 @@
 
 namespace vanillayard {
 
-static const absl::Status &statusOf(const absl::Status &Result) {
-  return Result;
-}
-
-template <typename T>
-static const absl::Status &statusOf(const absl::StatusOr<T> &Result) {
-  return Result.status();
-}
-
 static StorePath::Answer answerOf(const absl::Status &Status) {
   if (Status.ok())
     return StorePath::Answer::Served;
@@ -69,7 +61,7 @@
       std::shared_ptr<Impl> Self = Weak.lock();
       if (!Self)
         return;
-      StorePath::Answer Kind = answerOf(statusOf(Answer));
+      StorePath::Answer Kind = answerOf(resultStatus(Answer));
       Self->noteDirect(Kind);
       if (Kind == StorePath::Answer::Refused &&
           Self->route() == StorePath::Route::Peer)
@@ -84,7 +76,7 @@
                 size_t Asked) {
     std::shared_ptr<CoordinationStore> Peer = this->Peers.first();
     if (!Peer || Asked == std::min(MaxPeersAsked, this->Peers.count())) {
-      this->Path.peersRefused(this->Exec.now());
+      this->Path.peersNotServed(this->Exec.now());
       return Done(makeError(ErrorKind::PlatformUnavailable,
                             "the store serves neither this host nor others"));
     }
@@ -94,7 +86,7 @@
       std::shared_ptr<Impl> Self = Weak.lock();
       if (!Self)
         return;
-      StorePath::Answer Kind = answerOf(statusOf(Answer));
+      StorePath::Answer Kind = answerOf(resultStatus(Answer));
       Self->Path.peerAnswered(Kind, Self->Exec.now());
       if (Kind != StorePath::Answer::Served)
         Self->Peers.demote(*Peer);
--- a/libs/storerelay/src/StorePath.cpp
+++ b/libs/storerelay/src/StorePath.cpp
@@ -22,7 +22,7 @@
     this->IsSilent = false;
     break;
   case Answer::Missing:
-    if (++this->MissingInARow < MissingBeforePeer)
+    if (++this->MissingInARow < MissingBeforeDown)
       break;
     this->IsDirectDown = true;
     this->IsSilent = true;
@@ -33,11 +33,11 @@
 void StorePath::peerAnswered(Answer Kind, absl::Time Now) {
   if (Kind != Answer::Missing)
     this->PeerMissingInARow = 0;
-  else if (++this->PeerMissingInARow >= MissingBeforePeer)
-    this->peersRefused(Now);
+  else if (++this->PeerMissingInARow >= MissingBeforeDown)
+    this->peersNotServed(Now);
 }
 
-void StorePath::peersRefused(absl::Time Now) {
+void StorePath::peersNotServed(absl::Time Now) {
   this->AskPeersFrom = Now + PeerRest;
 }
 
--- a/libs/storerelay/tests/RelayedStoreTest.cpp
+++ b/libs/storerelay/tests/RelayedStoreTest.cpp
@@ -2,11 +2,11 @@
 
 #include "FakePeers.h"
 #include "RefusingStore.h"
-#include "base/BootClock.h"
 #include "base/VirtualExecutor.h"
 #include "control/LeaderRole.h"
 #include "control/LeaderRoleListener.h"
 #include "control/testing/FakeCoordinationStore.h"
+#include "control/testing/VirtualBootClock.h"
 #include "observe/Log.h"
 #include "storerelay/StorePath.h"
 
@@ -16,17 +16,6 @@
 
 namespace {
 
-class VirtualClock final : public BootClock {
-public:
-  explicit VirtualClock(const Executor &Exec) : Exec(Exec) {}
-  absl::Duration now() const override {
-    return this->Exec.now() - absl::UnixEpoch();
-  }
-
-private:
-  const Executor &Exec;
-};
-
 class CountingListener final : public LeaderRoleListener {
 public:
   int Gained = 0;
@@ -160,7 +149,7 @@
 // turns the leader away.
 TEST_F(RelayedStoreTest, LeaderKeepsItsRole) {
   this->addPeer();
-  VirtualClock Clock(this->Exec);
+  VirtualBootClock Clock(this->Exec);
   CountingListener Listener;
   std::unique_ptr<LeaderRole> Role =
       LeaderRole::Builder(this->Exec, this->Store, Clock, this->Events)
--- a/libs/storerelay/tests/StorePathTest.cpp
+++ b/libs/storerelay/tests/StorePathTest.cpp
@@ -61,7 +61,7 @@
 TEST(StorePathTest, PeersRestAfterTheyHaveRefused) {
   StorePath Path;
   Path.directAnswered(Answer::Refused);
-  Path.peersRefused(Start);
+  Path.peersNotServed(Start);
   EXPECT_EQ(Path.route(true, Start), Route::Direct);
   EXPECT_EQ(Path.route(true, Start + StorePath::PeerRest), Route::Peer);
 }
