Stop a member of a gang that is left over after the job's end

Cause (leader's fuzz, one case of 20,652): the start of a gang's member was carried out and its answer lost; the gang ended as done; the member's worker restarted and carried the repeated start out. The run was the leader's own, so it was not stopped, and its lease was renewed for ever. On the users' platform such a member ends by itself after the time for which gangs wait; the fake worker has no such end.

Change: a run that a report lists as running well after its job's end is stopped. LeftOverMemberOfADoneGangIsStopped fails without that; the seed is a regression case. The oracle names the runs that are left.

--- a/libs/control/tests/LeaderFuzzTest.cpp
+++ b/libs/control/tests/LeaderFuzzTest.cpp
@@ -312,8 +312,8 @@
   }
 
   void checkFinished(std::string &Out) {
-    if (this->World.Farm.runningCount() > 0)
-      Out += fmt::format("{} runs are left\n", this->World.Farm.runningCount());
+    for (const TaskKey &Task : this->World.Farm.runningTasks())
+      Out += fmt::format("a run of {} is left\n", describe(Task));
     for (const auto &[Id, Answer] : this->World.Answers) {
       if (!Answer.ok())
         continue;
@@ -355,8 +355,9 @@
 // 501942518: a leader that had been suspended repeated a start although its
 // role was not confirmed any more. 2122127322: a worker that restarted after a
 // stop was told to start the same run again, and was not told to stop it.
+// 131543358: the same with a gang that was done, whose member was left over.
 TEST(LeaderFuzzTest, SeedsThatHaveFailed) {
-  for (uint32_t Seed : {1993311897U, 501942518U, 2122127322U})
+  for (uint32_t Seed : {1993311897U, 501942518U, 2122127322U, 131543358U})
     EXPECT_EQ(violationsOf(Seed), "") << Seed;
 }
 
--- a/libs/scheduler/src/SchedulerReports.cpp
+++ b/libs/scheduler/src/SchedulerReports.cpp
@@ -202,6 +202,12 @@
                       AskedAt > Run->AnsweredAt + this->Terms.StopTimeout;
     if (IsStopLost)
       Run->IsStopAnswered = false;
+    // The end of one member is that of its gang. What still runs long after
+    // the job was started again by a worker that had forgotten the end.
+    bool IsLeftOver = Entry && Run->Phase == RunPhase::Running &&
+                      AskedAt > Entry->FinishedAt + this->Terms.StopTimeout;
+    if (IsLeftOver)
+      this->stopRun(*Run);
     if (IsTaskKnown && !Task.Checkpoint.empty())
       Entry->account(Task.Task).Checkpoint = Task.Checkpoint;
     return;
--- a/libs/scheduler/tests/SchedulerTest.cpp
+++ b/libs/scheduler/tests/SchedulerTest.cpp
@@ -501,3 +501,27 @@
                             Bench.Exec.now());
   EXPECT_EQ(Bench.round().Stops.size(), 1U);
 }
+
+// Guards against a member of a gang that goes on after the gang is done: its
+// worker restarted, and carried out a start that was under way.
+TEST(SchedulerTest, LeftOverMemberOfADoneGangIsStopped) {
+  SchedulerBench Bench;
+  Bench.addWorker("w1");
+  Bench.addWorker("w2");
+  BatchJob Job = Bench.job("j1", 2, 8);
+  Job.Steps[0].IsGang = true;
+  Bench.add(Job);
+  Orders First = Bench.round();
+  ASSERT_EQ(First.Starts.size(), 2U);
+  Bench.end(First.Starts[0], RunOutcome::Done);
+  WorkerReport Report;
+  Report.Incarnation = 1;
+  Report.Running.push_back({First.Starts[1].Task, First.Starts[1].Run, ""});
+  Bench.Plan.reportReceived(First.Starts[1].Worker, Report, Bench.Exec.now(),
+                            Bench.Exec.now());
+  EXPECT_EQ(Bench.round().Stops.size(), 0U) << "its end may not be listed yet";
+  Bench.Exec.advance(absl::Seconds(2));
+  Bench.Plan.reportReceived(First.Starts[1].Worker, Report, Bench.Exec.now(),
+                            Bench.Exec.now());
+  EXPECT_EQ(Bench.round().Stops.size(), 1U);
+}
