Bound the nesting of JSON from outside the process

Cause: the parser itself is not recursive, but copying, printing and the memory of a value grow with its depth. A worker's report or a watch of the store with 300,000 nested arrays ended the process while its rows were copied (KvStoreTest.DeeplyNestedAnswerIsAnError dies without the bound), and 1 MiB of brackets takes some 80 MB, half of a small host.

parseUntrustedJson() refuses texts that nest deeper than 32 levels before it parses them; all inputs from outside use it: platform, workers, store, callers, operators, settings documents.

Ruled out: a parser callback, which builds the value while it counts.

--- a/libs/config/src/JsonSchema.cpp
+++ b/libs/config/src/JsonSchema.cpp
@@ -2,6 +2,7 @@
 
 #include "base/AbslView.h"
 #include "base/ErrorKind.h"
+#include "base/JsonText.h"
 
 #include "absl/strings/str_join.h"
 
@@ -201,6 +202,8 @@
       DuplicateKey = Value.get<std::string>();
     return true;
   };
+  if (nestsDeeperThan(Text, MaxJsonDepth))
+    return makeError(ErrorKind::InvalidRequest, "document: nests too deep");
   json Document = json::parse(Text, OnParseEvent, /*allow_exceptions=*/false);
   if (Document.is_discarded())
     return makeError(ErrorKind::InvalidRequest, "document: is not valid JSON");
--- a/libs/daemon/src/AdminApi.cpp
+++ b/libs/daemon/src/AdminApi.cpp
@@ -2,6 +2,7 @@
 
 #include "DaemonImpl.h"
 #include "base/ErrorKind.h"
+#include "base/JsonText.h"
 #include "endpoint/WorkerTypes.h"
 #include "net/ProblemDetails.h"
 #include "observe/Counter.h"
@@ -112,7 +113,7 @@
 
 void AdminApi::drain(const HttpRequest &Request,
                      const std::shared_ptr<HttpResponder> &Responder) {
-  Json Body = Json::parse(Request.Body, nullptr, false);
+  Json Body = parseUntrustedJson(Request.Body);
   bool IsHost = Body.is_object() && Body.value("host", Json()) == Json(true);
   bool IsWorker = Body.is_object() && Body.contains("worker") &&
                   Body["worker"].is_string() && Body.contains("draining") &&
--- a/libs/fleet/src/BatchJobCodec.cpp
+++ b/libs/fleet/src/BatchJobCodec.cpp
@@ -1,6 +1,7 @@
 #include "fleet/BatchJobCodec.h"
 
 #include "base/ErrorKind.h"
+#include "base/JsonText.h"
 
 #include <nlohmann/json.hpp>
 
@@ -101,7 +102,7 @@
 absl::StatusOr<BatchJob> decodeBatchJob(std::string_view Text) {
   // nlohmann::json throws on malformed text, a missing key or a wrong type.
   try {
-    BatchJob Job = decodeFields(Json::parse(Text));
+    BatchJob Job = decodeFields(parseUntrustedJson(Text));
     if (absl::Status Status = validate(Job); !Status.ok())
       return Status;
     return Job;
--- a/libs/fleet/src/JobProgressCodec.cpp
+++ b/libs/fleet/src/JobProgressCodec.cpp
@@ -1,6 +1,7 @@
 #include "fleet/JobProgressCodec.h"
 
 #include "base/ErrorKind.h"
+#include "base/JsonText.h"
 
 #include <nlohmann/json.hpp>
 
@@ -50,7 +51,7 @@
 
 absl::StatusOr<ProgressSummary> decodeProgressSummary(std::string_view Text) {
   try {
-    return parseSummary(Json::parse(Text));
+    return parseSummary(parseUntrustedJson(Text));
   } catch (const Json::exception &Error) {
     return malformedRecord(Error.what());
   }
@@ -75,7 +76,7 @@
 
 absl::Status decodeProgress(std::string_view Text, JobProgress &Progress) {
   try {
-    Json In = Json::parse(Text);
+    Json In = parseUntrustedJson(Text);
     absl::StatusOr<ProgressSummary> Summary = parseSummary(In);
     if (!Summary.ok())
       return Summary.status();
--- a/libs/jobs/src/JobRecord.cpp
+++ b/libs/jobs/src/JobRecord.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Digest.h"
 #include "base/ErrorKind.h"
+#include "base/JsonText.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -170,7 +171,7 @@
 }
 
 absl::StatusOr<JobRecord> JobRecord::decode(std::string_view Text) {
-  Json Value = Json::parse(Text, nullptr, /*allow_exceptions=*/false);
+  Json Value = parseUntrustedJson(Text);
   FieldReader Read(Value);
   JobRecord Record;
   Record.Id = JobId(Read.text("id"));
--- a/libs/requests/src/ClaimRecord.cpp
+++ b/libs/requests/src/ClaimRecord.cpp
@@ -2,6 +2,7 @@
 
 #include "base/AbslView.h"
 #include "base/ErrorKind.h"
+#include "base/JsonText.h"
 
 #include "absl/strings/escaping.h"
 
@@ -35,7 +36,7 @@
 absl::StatusOr<ClaimRecord> ClaimRecord::fromJson(const std::string &Text) {
   absl::Status Malformed =
       makeError(ErrorKind::OutcomeUnknown, "the claim record is malformed");
-  nlohmann::json Json = nlohmann::json::parse(Text, nullptr, false);
+  nlohmann::json Json = parseUntrustedJson(Text);
   if (!Json.is_object())
     return Malformed;
   ClaimRecord Record;
--- a/libs/store/src/EtcdStore.cpp
+++ b/libs/store/src/EtcdStore.cpp
@@ -4,6 +4,7 @@
 #include "EtcdWatch.h"
 #include "base/ErrorKind.h"
 #include "base/Executor.h"
+#include "base/JsonText.h"
 
 #include <fmt/format.h>
 
@@ -57,8 +58,7 @@
         fmt::format("the key-value service answered with HTTP status "
                     "{}, expected 200: {}",
                     Response->Status, Response->Body.substr(0, 200)));
-  json Answer =
-      json::parse(Response->Body, nullptr, /*allow_exceptions=*/false);
+  json Answer = parseUntrustedJson(Response->Body);
   if (!Answer.is_object())
     return platformError("the key-value service's answer is not a JSON object");
   return Answer;
--- a/libs/store/src/EtcdWatch.cpp
+++ b/libs/store/src/EtcdWatch.cpp
@@ -1,6 +1,7 @@
 #include "EtcdWatch.h"
 
 #include "EtcdJson.h"
+#include "base/JsonText.h"
 
 #include <utility>
 
@@ -53,7 +54,7 @@
 }
 
 void EtcdWatch::State::handleLine(std::string_view Line) {
-  json Message = json::parse(Line, nullptr, /*allow_exceptions=*/false);
+  json Message = parseUntrustedJson(Line);
   if (!Message.is_object() || !Message.contains("result") ||
       !Message["result"].is_object()) {
     this->end(platformError("expected a watch result, received: " +
--- a/libs/store/src/HttpHostDirectory.cpp
+++ b/libs/store/src/HttpHostDirectory.cpp
@@ -2,6 +2,7 @@
 
 #include "EtcdJson.h"
 #include "base/EnumNames.h"
+#include "base/JsonText.h"
 
 #include <fmt/format.h>
 
@@ -51,7 +52,7 @@
 }
 
 absl::StatusOr<HostList> HttpHostDirectory::parse(std::string_view Text) {
-  json Document = json::parse(Text, nullptr, /*allow_exceptions=*/false);
+  json Document = parseUntrustedJson(Text);
   if (!Document.is_object() || !Document.contains("generated_ms") ||
       !Document["generated_ms"].is_number_integer() ||
       !Document.contains("hosts") || !Document["hosts"].is_array())
