Check ranges in everything that other programs write

Cause: numbers were cast without a range check (a step in after, priority, max-attempts, limits, capacities, incarnations, clocks), ids went into header lines and into a record with one id per line as they were, an address with port 0 or 70000 became a worker to call, and one row that could not be read hid all other rows of a listing. A job with 4096 tasks in 1024 occurrences was accepted and takes more memory than a host has, on each leader in turn. A relayed call with a key that is not valid UTF-8 made the JSON encoder throw, which ends the process.

Entries that cannot be read are now left out and named once in the log; the rest of the list is followed. Jobs are bounded to 8192 tasks in all occurrences.

With the checks taken out of the relay's codec, of the job's validation and of the nesting, the tests fail.

--- a/libs/control/src/ConfigurationWatcher.cpp
+++ b/libs/control/src/ConfigurationWatcher.cpp
@@ -111,7 +111,7 @@
   for (const std::string &Part : Decoded->InvalidSections)
     this->Events.warning(
         "configuration",
-        "part of the configuration could not be decoded, using defaults",
+        "part of the configuration could not be decoded, leaving it out",
         {{"version", Decoded->Version}, {"part", Part}});
   this->Current = std::make_shared<QueueTable>(*std::move(Decoded));
   if (this->Changed)
--- a/libs/fleet/include/fleet/BatchJob.h
+++ b/libs/fleet/include/fleet/BatchJob.h
@@ -55,6 +55,10 @@
   static constexpr int MaxSteps = 64;
   static constexpr int MaxTasksPerStep = 4096;
   static constexpr int MaxOccurrences = 1024;
+  /// Tasks of all steps and occurrences together. The progress record, with a
+  /// checkpoint for each task, must fit in a value of the store (1 MiB).
+  static constexpr int64_t MaxTasks = 8192;
+  static constexpr absl::Duration MaxEstimate = absl::Hours(24 * 365);
   static constexpr size_t MaxSpecificationBytes = 4000;
 };
 
--- a/libs/fleet/include/fleet/FleetConfiguration.h
+++ b/libs/fleet/include/fleet/FleetConfiguration.h
@@ -22,7 +22,8 @@
   size_t MaxBodyBytes = 262144;
   absl::Duration HeaderTimeout = absl::Seconds(3);
   absl::Duration IdleTimeout = absl::Seconds(15);
-  /// Names of the sections that were malformed and keep their defaults.
+  /// Names of the parts that could not be read. Entries are left out, other
+  /// parts keep their defaults.
   std::vector<std::string> InvalidSections;
 };
 
--- a/libs/fleet/include/fleet/WorkerRegistration.h
+++ b/libs/fleet/include/fleet/WorkerRegistration.h
@@ -4,8 +4,10 @@
 #include "base/Ids.h"
 #include "fleet/Resources.h"
 
+#include "absl/status/status.h"
 #include "absl/time/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -14,6 +16,13 @@
 
 /// Registration of a worker.
 struct WorkerRegistration {
+  /// Longest id of a worker.
+  static constexpr size_t MaxIdBytes = 128;
+  /// Longest time that a worker's clock can show.
+  static constexpr absl::Duration MaxClock = absl::Hours(24 * 365 * 10);
+  /// Latest possible incarnation: the last millisecond of the year 9999.
+  static constexpr int64_t MaxIncarnation = 253402300799999;
+
   WorkerId Id;
   Endpoint Address;
   DataCentreId DataCentre;
@@ -32,6 +41,12 @@
   absl::Duration Clock = absl::ZeroDuration();
 };
 
+/// Checks a registration that was read from the store, where other programs may
+/// write too. The id must be printable ASCII without spaces, because it is sent
+/// in a header and kept in a record with one id per line. Error:
+/// InvalidRequest.
+absl::Status validate(const WorkerRegistration &Registration);
+
 } // namespace vanillayard
 
 #endif
--- a/libs/fleet/src/BatchJob.cpp
+++ b/libs/fleet/src/BatchJob.cpp
@@ -44,12 +44,12 @@
     return invalidRequest(absl::StrCat(Name,
                                        ": the number of tasks is not in 1..",
                                        BatchJobLimits::MaxTasksPerStep));
-  const Resources &Need = Step.PerTask;
-  if (Need.MilliCores < 0 || Need.MemoryMib < 0 || Need.Accelerators < 0)
-    return invalidRequest(Name + ": a resource is negative");
-  if (Step.Estimate < absl::ZeroDuration() || Step.MaxPerWorker < 0)
-    return invalidRequest(Name +
-                          ": the estimate or the limit per worker is negative");
+  if (!Step.PerTask.isInRange())
+    return invalidRequest(Name + ": a resource is out of range");
+  if (Step.Estimate < absl::ZeroDuration() ||
+      Step.Estimate > BatchJobLimits::MaxEstimate || Step.MaxPerWorker < 0)
+    return invalidRequest(
+        Name + ": the estimate or the limit per worker is out of range");
   if (Step.IsLongRunning || Step.UsesIdleCapacity)
     return makeError(ErrorKind::Unsupported,
                      Name + ": long-running tasks and tasks on idle capacity "
@@ -74,9 +74,16 @@
       Job.Schedule.Interval < absl::ZeroDuration())
     return invalidRequest(
         "the count or interval of the schedule is out of range");
-  for (size_t I = 0; I < Job.Steps.size(); ++I)
+  int64_t Tasks = 0;
+  for (size_t I = 0; I < Job.Steps.size(); ++I) {
     if (absl::Status Status = validateStep(Job.Steps[I], I); !Status.ok())
       return Status;
+    Tasks += Job.Steps[I].TaskCount;
+  }
+  if (Tasks * Job.occurrenceCount() > BatchJobLimits::MaxTasks)
+    return invalidRequest(absl::StrCat("the job has more than ",
+                                       BatchJobLimits::MaxTasks,
+                                       " tasks in all its occurrences"));
   return absl::OkStatus();
 }
 
--- a/libs/fleet/tests/BatchJobTest.cpp
+++ b/libs/fleet/tests/BatchJobTest.cpp
@@ -101,6 +101,19 @@
                    [](BatchJob &J) { J.Steps[0].TaskCount = 5000; }},
         InvalidJob{"cpu",
                    [](BatchJob &J) { J.Steps[0].PerTask.MilliCores = -1; }},
+        InvalidJob{"accelerators",
+                   [](BatchJob &J) {
+                     J.Steps[0].PerTask.Accelerators = int64_t(1) << 62;
+                   }},
+        InvalidJob{"tasks_of_all_occurrences",
+                   [](BatchJob &J) {
+                     J.Steps[0].TaskCount = 4096;
+                     J.Schedule.Count = 1024;
+                   }},
+        InvalidJob{"long_estimate",
+                   [](BatchJob &J) {
+                     J.Steps[0].Estimate = absl::InfiniteDuration();
+                   }},
         InvalidJob{"after_itself",
                    [](BatchJob &J) { J.Steps[1].DependsOn = {1}; }},
         InvalidJob{"after_later",
--- a/libs/net/src/Address.cpp
+++ b/libs/net/src/Address.cpp
@@ -1,4 +1,4 @@
-#include "Address.h"
+#include "net/Address.h"
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
@@ -22,6 +22,12 @@
   return Address;
 }
 
+bool isConnectable(const Endpoint &Text) {
+  absl::StatusOr<sockaddr_in> Address = parseAddress(Text);
+  return Address.ok() && Address->sin_port != 0 &&
+         Address->sin_addr.s_addr != INADDR_ANY;
+}
+
 Endpoint formatAddress(const sockaddr_in &Address) {
   char Name[INET_ADDRSTRLEN] = {};
   uv_ip4_name(&Address, Name, sizeof(Name));
--- a/libs/net/src/FramedLink.cpp
+++ b/libs/net/src/FramedLink.cpp
@@ -1,6 +1,6 @@
 #include "net/FramedListener.h"
 
-#include "Address.h"
+#include "net/Address.h"
 #include "net/LoopExecutor.h"
 
 #include "absl/strings/str_cat.h"
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -1,9 +1,9 @@
 #include "net/HttpServer.h"
 
-#include "Address.h"
 #include "ConnectionTable.h"
 #include "H2oResponder.h"
 #include "RefusalFilter.h"
+#include "net/Address.h"
 #include "net/LoopExecutor.h"
 
 #include "absl/strings/str_cat.h"
--- a/libs/storerelay/include/storerelay/RelayCodec.h
+++ b/libs/storerelay/include/storerelay/RelayCodec.h
@@ -5,6 +5,7 @@
 #include "storerelay/StoreReply.h"
 
 #include "absl/status/statusor.h"
+#include "absl/time/time.h"
 
 #include <cstddef>
 #include <string>
@@ -13,8 +14,9 @@
 namespace vanillayard {
 
 /// Encodes calls and replies in the Thrift compact protocol and decodes them.
-/// Errors: InvalidArgument for a message that exceeds a limit, and for bytes
-/// that are not exactly one valid message.
+/// Errors: InvalidArgument for a message that exceeds a limit, for bytes that
+/// are not exactly one valid message, and for a call that the store's adapter
+/// cannot send, such as one with a key that is not printable ASCII.
 class RelayCodec {
 public:
   /// Maximum size of a message in bytes; equal to FramedLink::MaxFrameBytes. A
@@ -23,6 +25,9 @@
   /// Maximum number of elements in one list of a message that is decoded.
   static constexpr int MaxListElements = 65536;
 
+  /// Longest wait of a watch and longest time to live of a lease.
+  static constexpr absl::Duration MaxDuration = absl::Minutes(10);
+
   static absl::StatusOr<std::string> encode(const StoreCall &Call);
   static absl::StatusOr<std::string> encode(const StoreReply &Reply);
   static absl::StatusOr<StoreCall> decodeCall(std::string_view Bytes);
--- a/libs/storerelay/src/RelayCodec.cpp
+++ b/libs/storerelay/src/RelayCodec.cpp
@@ -1,9 +1,11 @@
 #include "storerelay/RelayCodec.h"
 
 #include "base/ErrorKind.h"
+#include "store/StoreKey.h"
 #include "store_relay_types.h"
 #include "wire/ThriftCodec.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -48,6 +50,28 @@
   return Out;
 }
 
+/// Checks what the store's adapter takes for granted in a call, because a
+/// message can come from any program that reaches the port.
+static absl::Status validate(const StoreCall &Call) {
+  if (!Call.Key.empty() && !isStoreKey(Call.Key))
+    return absl::InvalidArgumentError("the key cannot be a key of the store");
+  if (Call.Duration < absl::ZeroDuration() ||
+      Call.Duration > RelayCodec::MaxDuration)
+    return absl::InvalidArgumentError("the duration is out of range");
+  const StoreTransaction &Transaction = Call.Transaction;
+  auto HasKey = [](const auto &Row) { return isStoreKey(Row.Key); };
+  if (!std::all_of(Transaction.Conditions.begin(), Transaction.Conditions.end(),
+                   HasKey) ||
+      !std::all_of(Transaction.Puts.begin(), Transaction.Puts.end(), HasKey) ||
+      !std::all_of(Transaction.Removes.begin(), Transaction.Removes.end(),
+                   isStoreKey))
+    return absl::InvalidArgumentError(
+        "a key of the transaction cannot be a key of the store");
+  if (Transaction.entryCount() > StoreTransaction::MaxEntries)
+    return absl::InvalidArgumentError("the transaction has too many entries");
+  return absl::OkStatus();
+}
+
 absl::StatusOr<std::string> RelayCodec::encode(const StoreCall &Call) {
   thrift_relay::Call Out;
   Out.__set_id(Call.Id);
@@ -83,8 +107,8 @@
   Out.Duration = absl::Milliseconds(In.duration_ms);
   Out.Lease = In.lease;
   Out.Transaction = transactionOf(In);
-  if (Out.Transaction.entryCount() > StoreTransaction::MaxEntries)
-    return absl::InvalidArgumentError("the transaction has too many entries");
+  if (absl::Status Status = validate(Out); !Status.ok())
+    return Status;
   return Out;
 }
 
--- a/libs/storerelay/tests/RelayCodecTest.cpp
+++ b/libs/storerelay/tests/RelayCodecTest.cpp
@@ -63,6 +63,44 @@
   }
 }
 
+// Guards against a host that ends because another program sent a call that the
+// adapter of the store cannot encode, and against calls that never end.
+TEST(RelayCodecTest, CallsThatTheStoreCannotTakeAreRejected) {
+  auto Decodes = [](const StoreCall &Call) {
+    auto Bytes = RelayCodec::encode(Call);
+    return Bytes.ok() && RelayCodec::decodeCall(*Bytes).ok();
+  };
+  StoreCall Get;
+  Get.Operation = StoreOperation::Get;
+  Get.Key = "vy/leader";
+  EXPECT_TRUE(Decodes(Get));
+  for (const std::string &Key :
+       {std::string("\xff"), std::string("a\0b", 3), std::string("a b"),
+        std::string("a\r\nb"), std::string(201, 'k')}) {
+    Get.Key = Key;
+    EXPECT_FALSE(Decodes(Get));
+    StoreCall Commit;
+    Commit.Operation = StoreOperation::Commit;
+    Commit.Transaction.Conditions = {{Key, 0}};
+    EXPECT_FALSE(Decodes(Commit));
+    Commit.Transaction = {};
+    Commit.Transaction.Puts = {{Key, "v", 0}};
+    EXPECT_FALSE(Decodes(Commit));
+    Commit.Transaction = {};
+    Commit.Transaction.Removes = {Key};
+    EXPECT_FALSE(Decodes(Commit));
+  }
+  StoreCall Watch;
+  Watch.Operation = StoreOperation::AwaitChanges;
+  Watch.Key = "vy/job/";
+  Watch.Duration = absl::Seconds(2);
+  EXPECT_TRUE(Decodes(Watch));
+  Watch.Duration = -absl::Milliseconds(1);
+  EXPECT_FALSE(Decodes(Watch));
+  Watch.Duration = absl::InfiniteDuration();
+  EXPECT_FALSE(Decodes(Watch));
+}
+
 // Guards against a crash when an unknown client sends arbitrary bytes.
 RC_GTEST_PROP(RelayCodecTest, ArbitraryBytesAreDecodedOrRejected,
               (const std::string &Bytes)) {
