Let a worker's reports go before its registration

Cause: an entry with a later incarnation than the worker's own made the leader ignore all its reports for good, and an entry with a clock that is too high made the worker hold its lease for longer than the leader expects, so that a task could run twice. A worker that was registered but never answered was recorded as one that may hold runs, and each new leader waited for its longest lease before it started older work.

A report that was asked for after a registration refutes it; clocks of registrations and order answers are used only if the reports allow them; only workers that have reported are recorded. Deletions of a failed transaction are repeated. Reads of states, counts of waiting jobs and all cancels are measured.

--- a/libs/control/include/control/testing/FakeWorkerFarm.h
+++ b/libs/control/include/control/testing/FakeWorkerFarm.h
@@ -62,6 +62,8 @@
   absl::Duration StopTime = absl::Milliseconds(200);
   /// How long ago the registrations were written.
   absl::Duration RegistrationAge = absl::ZeroDuration();
+  /// Changes the registrations that fetch() returns, as another writer could.
+  std::function<void(std::vector<WorkerRegistration> &)> ChangeRegistrations;
   /// Chooses the fault of each call, by its name: renew, start or stop.
   std::function<Fault(const std::string &Call, const WorkerId &Worker)> Faults;
   /// Run time of a task; 1 s if not set. The outcome is Done unless Outcomes is
--- a/libs/control/src/LeaderTaskImpl.h
+++ b/libs/control/src/LeaderTaskImpl.h
@@ -70,6 +70,7 @@
   void pollWorkers();
   void applyRegistrations(const std::vector<WorkerRegistration> &Registrations);
   void recordWorkers();
+  void recordWorkersSoon();
   void addDriver(const WorkerRegistration &Registration);
   void refreshUsable(const WorkerId &Worker);
   void settleIfAllRunsKnown();
@@ -113,6 +114,7 @@
   std::map<std::string, int64_t> PublishedWaiting;
   bool IsWaitingPublishing = false;
   bool IsServing = false;
+  bool IsWorkersRecordDue = false;
   bool IsPlanRequested = false;
   bool HasSettled = false;
   bool IsEnded = false;
--- a/libs/control/src/LeaderTaskWorkers.cpp
+++ b/libs/control/src/LeaderTaskWorkers.cpp
@@ -7,12 +7,16 @@
 #include "observe/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace vanillayard {
 
 /// Time after which the last orders of an earlier leader have reached their
 /// workers.
 static constexpr absl::Duration OrderDelay = absl::Seconds(1);
+/// Delay from the first report of a new worker to the write of the record of
+/// workers, which covers the workers that report meanwhile.
+static constexpr absl::Duration WorkersRecordDelay = absl::Milliseconds(20);
 
 void LeaderTask::Term::pollWorkers() {
   this->Links.Exec.runAfter(
@@ -76,10 +80,13 @@
 
 /// Records new workers before any run is started on them, so that the next
 /// leader knows which workers may have runs. Removes workers that have left.
+/// Leaves out workers that have never answered, because the next leader waits
+/// for the report or the longest lease of every recorded one.
 void LeaderTask::Term::recordWorkers() {
   std::set<WorkerId> Wanted = this->UnreportedWorkers;
   for (const auto &[Id, Driver] : this->Drivers)
-    Wanted.insert(Id);
+    if (Driver->hasEverReported())
+      Wanted.insert(Id);
   if (Wanted == this->RequestedWorkers)
     return;
   this->RequestedWorkers = Wanted;
@@ -96,6 +103,21 @@
                           });
 }
 
+/// Records workers after WorkersRecordDelay, together with those that report
+/// meanwhile.
+void LeaderTask::Term::recordWorkersSoon() {
+  if (std::exchange(this->IsWorkersRecordDue, true))
+    return;
+  this->Links.Exec.runAfter(WorkersRecordDelay,
+                            [Weak = this->weak_from_this()] {
+                              std::shared_ptr<Term> Self = Weak.lock();
+                              if (!Self || Self->IsEnded)
+                                return;
+                              Self->IsWorkersRecordDue = false;
+                              Self->recordWorkers();
+                            });
+}
+
 void LeaderTask::Term::refreshUsable(const WorkerId &Worker) {
   const WorkerDriver &Driver = *this->Drivers.at(Worker);
   this->JobScheduler.setUsable(Worker,
@@ -123,6 +145,8 @@
       this->JobScheduler.lastEndSequence(Worker));
   this->UnreportedWorkers.erase(Worker);
   this->settleIfAllRunsKnown();
+  if (!this->RequestedWorkers.contains(Worker))
+    this->recordWorkersSoon();
   this->refreshUsable(Worker);
   if (this->JobScheduler.hasChanges() || !Report.Ends.empty())
     this->Writer->requestWrite();
--- a/libs/control/src/ProgressWriter.cpp
+++ b/libs/control/src/ProgressWriter.cpp
@@ -7,6 +7,7 @@
 #include "store/CoordinationStore.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace vanillayard {
@@ -91,7 +92,8 @@
   while (!this->Removes.empty() &&
          Transaction.entryCount() < StoreTransaction::MaxEntries) {
     this->Revisions.erase(this->Removes.back());
-    Transaction.Removes.push_back(std::move(this->Removes.back()));
+    Transaction.Removes.push_back(this->Removes.back());
+    Sent.Removes.push_back(std::move(this->Removes.back()));
     this->Removes.pop_back();
   }
   if (Transaction.entryCount() == 1) {
@@ -124,9 +126,10 @@
       return this->OwnerRef.superseded();
     this->adoptRevisions(Result->Found, Sent);
   } else {
-    this->Events.warning(
-        "leader", "progress records could not be written",
-        {{"records", Sent.Changes.size()}, {"error", Result.status()}});
+    this->Events.warning("leader", "progress records could not be written",
+                         {{"records", Sent.Changes.size()},
+                          {"deletions", Sent.Removes.size()},
+                          {"error", Result.status()}});
     Delay = RetryDelay;
   }
   this->requeue(std::move(Sent));
@@ -154,6 +157,8 @@
   std::move(this->ExtraPuts.begin(), this->ExtraPuts.end(),
             std::back_inserter(Sent.Puts));
   this->ExtraPuts = std::move(Sent.Puts);
+  std::move(Sent.Removes.begin(), Sent.Removes.end(),
+            std::back_inserter(this->Removes));
   this->IsWriteRequested = true;
 }
 
--- a/libs/control/src/ProgressWriter.h
+++ b/libs/control/src/ProgressWriter.h
@@ -61,7 +61,7 @@
   /// success.
   void putRecord(std::string Key, std::string Value,
                  std::function<void()> Done);
-  /// Deletes records. A failure is logged and not retried.
+  /// Deletes records, with retries.
   void removeRecords(std::vector<std::string> Keys);
 
   void close() { this->IsClosed = true; }
@@ -78,6 +78,7 @@
   struct Batch {
     std::vector<ProgressChange> Changes;
     std::vector<ExtraPut> Puts;
+    std::vector<std::string> Removes;
     RunEndCursors Ends;
   };
   void addPut(StoreTransaction &Transaction, const std::string &Key,
--- a/libs/control/src/QueueJobService.cpp
+++ b/libs/control/src/QueueJobService.cpp
@@ -1,6 +1,7 @@
 #include "control/QueueJobService.h"
 
 #include "base/ErrorKind.h"
+#include "base/JsonText.h"
 #include "control/RecordKeys.h"
 #include "fleet/BatchJobCodec.h"
 #include "fleet/JobProgressCodec.h"
@@ -101,10 +102,12 @@
                                 const RetriedCall &Call,
                                 const ClientAccountId &Account) const;
   int64_t configurationVersion() const;
-  /// Logs and counts a request that passed the first checks, and records the
-  /// time to its answer.
+  /// Logs and measures a request that passed the first checks.
   void logCall(const RetriedCall &Call, std::string_view Outcome,
                const absl::Status &Status);
+  /// Counts a request that passed the first checks, and records the time to its
+  /// answer.
+  void measureCall(const RetriedCall &Call, const absl::Status &Status);
   /// Logs and counts a request that fails the first checks.
   void logRefusal(std::string_view Operation, const CallContext &Caller,
                   const absl::Status &Status);
@@ -184,20 +187,24 @@
 void QueueJobService::Impl::logCall(const RetriedCall &Call,
                                     std::string_view Outcome,
                                     const absl::Status &Status) {
-  absl::Duration Took = this->Exec.now() - Call.Began;
   this->Events.write(LogLevel::Info, "caller", Call.Operation,
                      {{"job", Call.Job},
                       {"outcome", Outcome},
                       {"error", errorNameOf(Status)},
                       {"configuration", this->configurationVersion()},
-                      {"took", Took}},
+                      {"took", this->Exec.now() - Call.Began}},
                      fmt::format("{}: {}", Call.Operation, Call.Job.str()));
+  this->measureCall(Call, Status);
+}
+
+void QueueJobService::Impl::measureCall(const RetriedCall &Call,
+                                        const absl::Status &Status) {
   this->countCall(Call.Operation, Call.Account.str(), Call.Queue, Status);
   this->MetricRegistry
       .histogram("vanillayard_call_seconds",
                  "time to the answer of callers' calls",
                  {{"call", Call.Operation}})
-      .record(Took);
+      .record(this->Exec.now() - Call.Began);
 }
 
 void QueueJobService::Impl::logRefusal(std::string_view Operation,
@@ -360,8 +367,13 @@
         }
         absl::StatusOr<ProgressSummary> Summary =
             decodeProgressSummary((*Result)->Value);
-        if (!Summary.ok())
+        if (!Summary.ok()) {
+          Self->logCall(Call, "unreadable", Summary.status());
           return Done(Summary.status());
+        }
+        // A cancel reads the state first and is measured as a whole.
+        if (Call.Operation == "state")
+          Self->measureCall(Call, absl::OkStatus());
         Done(Summary->State);
       });
 }
@@ -411,13 +423,16 @@
               [QueueName, Done](Impl &Instance, RetriedCall Next) {
                 Instance.readWaiting(std::move(Next), QueueName, Done);
               });
-          if (Final)
+          if (Final) {
+            Self->logCall(Call, "no answer", *Final);
             Done(*Final);
+          }
           return;
         }
+        Self->measureCall(Call, absl::OkStatus());
         if (!Result->has_value())
           return Done(0);
-        auto Counts = nlohmann::json::parse((*Result)->Value, nullptr, false);
+        auto Counts = parseUntrustedJson((*Result)->Value);
         if (!Counts.is_object())
           return Done(
               makeError(ErrorKind::Internal,
@@ -537,10 +552,16 @@
       return;
     if (!State.ok())
       return Done(State.status());
-    if (*State == BatchState::Cancelled)
+    if (*State == BatchState::Cancelled) {
+      Self->logCall(Call, "already cancelled", absl::OkStatus());
       return Done(absl::OkStatus());
-    if (isFinal(*State))
-      return Done(makeError(ErrorKind::Gone, "the job has already ended"));
+    }
+    if (isFinal(*State)) {
+      absl::Status Ended =
+          makeError(ErrorKind::Gone, "the job has already ended");
+      Self->logCall(Call, "already ended", Ended);
+      return Done(Ended);
+    }
     Self->writeCancel(Call, Done);
   });
 }
--- a/libs/control/src/WorkerDriver.cpp
+++ b/libs/control/src/WorkerDriver.cpp
@@ -29,19 +29,31 @@
                            const WorkerRegistration &Registration,
                            absl::Time LeaseEndsBy)
     : Exec(Exec), Gateway(Gateway), OwnerRef(OwnerRef),
-      Registration(Registration), Clock(Registration.Clock),
-      ClockAt(Exec.now()), LeaseEndsBy(LeaseEndsBy) {}
+      Registration(Registration), ClockAt(Exec.now()),
+      IncarnationSeenAt(Exec.now()), LeaseEndsBy(LeaseEndsBy) {}
 
-void WorkerDriver::noteClock(absl::Duration Reading) {
+/// Applies the reading of a report of the current incarnation.
+void WorkerDriver::noteReportedClock(absl::Duration Reading) {
   absl::Time Now = this->Exec.now();
-  // The reading of an old registration may be below the known lower bound; the
+  // An answer that was delayed may show less than the known lower bound; the
   // bound is more precise then.
   absl::Duration AtLeast =
       this->Clock + (Now - this->ClockAt) * SlowestWorkerClock;
-  if (Reading < AtLeast)
+  if (this->IsClockReported && Reading < AtLeast)
     return;
   this->Clock = Reading;
   this->ClockAt = Now;
+  this->IsClockReported = true;
+}
+
+/// Applies a reading that may be wrong or of an earlier incarnation, from a
+/// registration or the answer to an order, if the reports allow it. A reading
+/// that is too high would make leases end later than this leader expects.
+void WorkerDriver::notePossibleClock(absl::Duration Reading) {
+  absl::Duration AtMost =
+      this->Clock + (this->Exec.now() - this->ClockAt) * FastestWorkerClock;
+  if (this->IsClockReported && Reading <= AtMost)
+    this->noteReportedClock(Reading);
 }
 
 /// Whether a reading taken after \p SentAt is below what the clock must have
@@ -60,8 +72,11 @@
 void WorkerDriver::beginIncarnation(int64_t Incarnation) {
   absl::Time Now = this->Exec.now();
   this->Registration.Incarnation = Incarnation;
+  this->IncarnationSeenAt = Now;
+  this->IsIncarnationReported = false;
   this->Clock = absl::ZeroDuration();
   this->ClockAt = Now;
+  this->IsClockReported = false;
   this->LeaseEndsBy =
       std::max(this->LeaseEndsBy,
                Now + this->OwnerRef.maxWorkerLease() / SlowestWorkerClock);
@@ -93,15 +108,39 @@
 void WorkerDriver::update(const WorkerRegistration &Newer) {
   int64_t Known = this->Registration.Incarnation;
   // A registration may be older than the worker's own latest report.
-  if (Newer.Incarnation < Known)
+  if (Newer.Incarnation < Known ||
+      (Newer.Incarnation != 0 && Newer.Incarnation == this->RefutedIncarnation))
     return;
   this->Registration = Newer;
   if (Newer.Incarnation > Known && Known != 0)
     this->beginIncarnation(Newer.Incarnation);
-  this->noteClock(Newer.Clock);
+  this->notePossibleClock(Newer.Clock);
   this->renewIfNeeded();
 }
 
+/// Applies the incarnation that a report shows.
+/// \returns false if the report is of an earlier incarnation.
+bool WorkerDriver::adoptReportedIncarnation(int64_t Incarnation,
+                                            absl::Time AskedAt) {
+  int64_t Known = this->Registration.Incarnation;
+  if (Incarnation != 0 && Incarnation < Known) {
+    // A worker that is asked after its new incarnation was registered cannot
+    // answer as an earlier one, so the registration was wrong.
+    bool IsRefuted =
+        !this->IsIncarnationReported && AskedAt > this->IncarnationSeenAt;
+    if (!IsRefuted)
+      return false;
+    this->RefutedIncarnation = Known;
+    this->beginIncarnation(Incarnation);
+  } else if (Incarnation > Known) {
+    this->Registration.Incarnation = Incarnation;
+    if (Known != 0)
+      this->beginIncarnation(Incarnation);
+  }
+  this->IsIncarnationReported = true;
+  return true;
+}
+
 /// Extends the lease by the longest time allowed now.
 /// \returns the end of the lease on the worker's clock.
 absl::Duration WorkerDriver::extendLease() {
@@ -190,17 +229,11 @@
     return this->retryLater();
   }
   const WorkerReport &Report = Reply.Report;
-  if (Report.Incarnation != 0 &&
-      Report.Incarnation < this->Registration.Incarnation)
+  if (!this->adoptReportedIncarnation(Report.Incarnation, AskedAt))
     return this->retryLater();
-  if (Report.Incarnation > this->Registration.Incarnation) {
-    bool WasKnown = this->Registration.Incarnation != 0;
-    this->Registration.Incarnation = Report.Incarnation;
-    if (WasKnown)
-      this->beginIncarnation(Report.Incarnation);
-  }
-  this->noteClock(Report.Clock);
+  this->noteReportedClock(Report.Clock);
   this->HasReported = true;
+  this->HasEverReported = true;
   this->OwnerRef.reported(this->Registration.Id, Report, AskedAt);
 }
 
@@ -277,7 +310,7 @@
   bool HasRestarted =
       Reply.Clock && this->isEarlierThanKnown(*Reply.Clock, SentAt);
   if (Reply.Clock && !HasRestarted)
-    this->noteClock(*Reply.Clock);
+    this->notePossibleClock(*Reply.Clock);
   // A start order is idempotent: the worker starts each run only once.
   bool MayRetry = Retries < MaxStartRetries && this->OwnerRef.mayStart(Order);
   if (Reply.Answer == OrderAnswer::Unknown && MayRetry)
@@ -303,7 +336,7 @@
                        if (!Self || Self->IsClosed)
                          return;
                        if (Reply.Clock)
-                         Self->noteClock(*Reply.Clock);
+                         Self->notePossibleClock(*Reply.Clock);
                        if (Reply.Answer == OrderAnswer::Fenced)
                          return Self->OwnerRef.fenced();
                        Self->OwnerRef.stopAnswered(
--- a/libs/control/src/WorkerDriver.h
+++ b/libs/control/src/WorkerDriver.h
@@ -61,7 +61,8 @@
   WorkerDriver(Executor &Exec, WorkerGateway &Gateway, Owner &OwnerRef,
                const WorkerRegistration &Registration, absl::Time LeaseEndsBy);
 
-  /// Applies a newer registration.
+  /// Applies a newer registration. What the worker has reported itself goes
+  /// before a registration, which another program may have written.
   void update(const WorkerRegistration &Registration);
   /// Lets the driver acknowledge the ends up to \p Cursor, which are recorded.
   void acknowledge(const RunEndCursor &Cursor);
@@ -80,6 +81,8 @@
   /// Whether the worker has accepted this leader's fencing token and has
   /// answered every call since its latest report.
   bool hasReported() const { return this->HasReported; }
+  /// Whether the worker has reported to this leader at least once.
+  bool hasEverReported() const { return this->HasEverReported; }
   /// Whether runs may be started on the worker.
   bool mayTakeRuns() const {
     return this->HasReported && this->Exec.now() >= this->StartsBlockedUntil;
@@ -95,7 +98,8 @@
   WorkerTarget target() const {
     return {this->Registration.Id, this->Registration.Address};
   }
-  void noteClock(absl::Duration Clock);
+  void noteReportedClock(absl::Duration Reading);
+  void notePossibleClock(absl::Duration Reading);
   bool isEarlierThanKnown(absl::Duration Reading, absl::Time SentAt) const;
   /// \param Retries number of earlier attempts that were not answered.
   void sendStart(const StartOrder &Order, int Retries = 0);
@@ -103,6 +107,7 @@
                      absl::Time SentAt, int Retries);
   void sendHeldStarts();
   void beginIncarnation(int64_t Incarnation);
+  bool adoptReportedIncarnation(int64_t Incarnation, absl::Time AskedAt);
   void blockStartsForLateAcknowledgement();
   absl::Duration extendLease();
   void acknowledgementAnswered(const RunEndCursor &Acknowledged,
@@ -120,8 +125,17 @@
   /// lower bound of the clock at that time.
   absl::Duration Clock = absl::ZeroDuration();
   absl::Time ClockAt;
+  /// A report has shown the clock of this incarnation.
+  bool IsClockReported = false;
+  /// When a registration or a report first showed this incarnation.
+  absl::Time IncarnationSeenAt;
+  /// A report of the worker has shown this incarnation.
+  bool IsIncarnationReported = false;
+  /// Incarnation of a registration that a report has contradicted.
+  int64_t RefutedIncarnation = 0;
   absl::Time LeaseEndsBy;
   bool HasReported = false;
+  bool HasEverReported = false;
   bool IsRenewing = false;
   /// The renewal in flight acknowledges ends. Start orders wait in HeldStarts
   /// for its answer.
--- a/libs/control/src/testing/FakeWorkerFarm.cpp
+++ b/libs/control/src/testing/FakeWorkerFarm.cpp
@@ -360,6 +360,8 @@
     Registrations.back().Clock =
         std::max(this->clock(W) - this->RegistrationAge, absl::ZeroDuration());
   }
+  if (this->ChangeRegistrations)
+    this->ChangeRegistrations(Registrations);
   this->Exec.runAfter(
       this->Latency,
       [Done = std::move(Done), Registrations = std::move(Registrations)] {
--- a/libs/control/tests/LeaderTaskTest.cpp
+++ b/libs/control/tests/LeaderTaskTest.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <set>
 #include <utility>
 
@@ -252,6 +253,198 @@
   EXPECT_EQ(this->Cluster.Farm.Calls["start"], 8);
 }
 
+// Guards against work that is started again, or given up, because its worker
+// was silent for less than its lease.
+TEST_F(LeaderTaskTest, SilentWorkersKeepTheirWork) {
+  FakeWorkerFarm &Farm = this->Cluster.Farm;
+  Farm.Durations = [](const TaskKey &) { return absl::Seconds(12); };
+  this->Cluster.submit(this->host("a"), Id, this->Cluster.job(4, 8));
+  this->Cluster.runFor(absl::Seconds(2));
+  ASSERT_EQ(Farm.StartedRuns.size(), 4U);
+  for (int Silence = 0; Silence < 2; ++Silence) {
+    Farm.Faults = [](const std::string &, const WorkerId &) {
+      return OrderFault::Drop;
+    };
+    this->Cluster.runFor(absl::Seconds(3));
+    Farm.Faults = nullptr;
+    this->Cluster.runFor(absl::Seconds(2));
+  }
+  this->Cluster.runFor(absl::Seconds(6));
+  EXPECT_EQ(*this->Cluster.state(this->host("a"), Id), BatchState::Done);
+  EXPECT_EQ(Farm.StartedRuns.size(), 4U);
+}
+
+// Guards against the same for workers whose registrations are missing for a
+// while, as after an outage of the store.
+TEST_F(LeaderTaskTest, UnregisteredWorkersKeepTheirWork) {
+  FakeWorkerFarm &Farm = this->Cluster.Farm;
+  Farm.Durations = [](const TaskKey &) { return absl::Seconds(12); };
+  this->Cluster.submit(this->host("a"), Id, this->Cluster.job(4, 8));
+  this->Cluster.runFor(absl::Seconds(2));
+  ASSERT_EQ(Farm.StartedRuns.size(), 4U);
+  for (const char *Worker : {"w0", "w1", "w2", "w3"})
+    Farm.setRegistered(WorkerId(Worker), false);
+  this->Cluster.runFor(absl::Seconds(14));
+  EXPECT_EQ(*this->Cluster.state(this->host("a"), Id), BatchState::Done);
+  EXPECT_EQ(Farm.StartedRuns.size(), 4U);
+}
+
+// Guards against orders that go out from both hosts of a graceful hand-over.
+TEST_F(LeaderTaskTest, HandOverSendsNoOrderTwice) {
+  FakeWorkerFarm &Farm = this->Cluster.Farm;
+  Farm.Latency = absl::Milliseconds(40);
+  Farm.Durations = [](const TaskKey &) { return absl::Milliseconds(700); };
+  int Submitted = 0;
+  for (int Round = 0; Round < 6; ++Round) {
+    this->Cluster.addHost("c" + std::to_string(Round));
+    for (int I = 0; I < 6; ++I) {
+      this->Cluster.submit(this->standby(),
+                           "00000000000000" + std::to_string(10 + Submitted++),
+                           this->Cluster.job(4, 2));
+      this->Cluster.runFor(absl::Milliseconds(30));
+    }
+    ASSERT_NE(this->Cluster.leader(), nullptr);
+    this->Cluster.leader()->Role->resign([] {});
+    this->Cluster.runFor(absl::Seconds(2));
+  }
+  this->Cluster.runFor(absl::Seconds(20));
+  EXPECT_EQ(Farm.StartedRuns.size(), static_cast<size_t>(Submitted) * 4);
+  EXPECT_EQ(this->repeatedStarts(), 0U);
+}
+
+// Guards against orders of a leader that was paused while another host took its
+// role.
+TEST_F(LeaderTaskTest, LeaderThatWasPausedStartsNothing) {
+  FakeWorkerFarm &Farm = this->Cluster.Farm;
+  Farm.Durations = [](const TaskKey &) { return absl::Seconds(30); };
+  this->Cluster.submit(this->standby(), Id, this->Cluster.job(8, 8));
+  this->Cluster.runFor(absl::Seconds(1));
+  ASSERT_EQ(Farm.StartedRuns.size(), 4U);
+  std::string Paused = this->Cluster.leaderName();
+  this->Cluster.freezeHost(Paused, absl::Seconds(5));
+  this->Cluster.runFor(absl::Milliseconds(4900));
+  ASSERT_NE(this->Cluster.leaderName(), Paused);
+  this->Cluster.runFor(absl::Seconds(60));
+  std::map<TaskKey, int64_t> Latest;
+  for (const FakeWorkerFarm::StartedRun &Run : Farm.StartedRuns) {
+    EXPECT_GT(Run.Run, Latest[Run.Task]);
+    Latest[Run.Task] = Run.Run;
+  }
+  EXPECT_EQ(this->repeatedStarts(), 0U);
+  EXPECT_EQ(Farm.StartedRuns.size(), 8U);
+}
+
+// Guards against a successor that starts work on a worker that has left while
+// no leader was there, as the record of workers still names it.
+TEST_F(LeaderTaskTest, SuccessorUsesNoDepartedWorker) {
+  FakeWorkerFarm &Farm = this->Cluster.Farm;
+  this->Cluster.submit(this->host("a"), Id, this->Cluster.job(4, 8));
+  this->Cluster.runFor(absl::Seconds(3));
+  ASSERT_NE(this->Cluster.Store.value("vy/workers").find("w3"),
+            std::string::npos);
+  this->Cluster.killHost(this->Cluster.leaderName());
+  Farm.setRegistered(WorkerId("w3"), false);
+  this->Cluster.runFor(absl::Seconds(6));
+  ASSERT_NE(this->Cluster.leader(), nullptr);
+  size_t Before = Farm.StartedRuns.size();
+  this->Cluster.submit(*this->Cluster.leader(), "00000000000000aa",
+                       this->Cluster.job(4, 8));
+  this->Cluster.runFor(absl::Seconds(12));
+  ASSERT_GT(Farm.StartedRuns.size(), Before);
+  for (size_t I = Before; I < Farm.StartedRuns.size(); ++I)
+    EXPECT_NE(Farm.StartedRuns[I].Worker, WorkerId("w3"));
+}
+
+// Guards against a worker that is given up for good because another program
+// once wrote a later incarnation into its registration.
+TEST_F(LeaderTaskTest, RegistrationWithAWrongIncarnationIsRefuted) {
+  FakeWorkerFarm &Farm = this->Cluster.Farm;
+  Farm.Durations = [](const TaskKey &) { return absl::Seconds(5); };
+  this->Cluster.submit(this->host("a"), Id, this->Cluster.job(4, 8));
+  this->Cluster.runFor(absl::Seconds(1));
+  ASSERT_EQ(Farm.StartedRuns.size(), 4U);
+  Farm.ChangeRegistrations = [](std::vector<WorkerRegistration> &All) {
+    for (WorkerRegistration &Registration : All)
+      Registration.Incarnation += 1000000000;
+  };
+  this->Cluster.runFor(absl::Seconds(2));
+  Farm.ChangeRegistrations = nullptr;
+  this->Cluster.runFor(absl::Seconds(20));
+  EXPECT_EQ(*this->Cluster.state(this->host("a"), Id), BatchState::Done);
+  this->Cluster.submit(this->host("a"), "00000000000000aa",
+                       this->Cluster.job(4, 8));
+  this->Cluster.runFor(absl::Seconds(8));
+  EXPECT_EQ(*this->Cluster.state(this->host("a"), "00000000000000aa"),
+            BatchState::Done);
+  EXPECT_EQ(this->repeatedStarts(), 0U);
+}
+
+// Guards against a second run of a task while the first is still active: by a
+// clock that is too high, the worker holds its lease for longer than the leader
+// expects.
+TEST_F(LeaderTaskTest, RegistrationWithAWrongClockDoesNotLengthenLeases) {
+  FakeWorkerFarm &Farm = this->Cluster.Farm;
+  Farm.MaxLease = absl::Seconds(60);
+  Farm.Durations = [](const TaskKey &) { return absl::Seconds(100); };
+  Farm.ChangeRegistrations = [](std::vector<WorkerRegistration> &All) {
+    for (WorkerRegistration &Registration : All)
+      Registration.Clock += absl::Hours(1);
+  };
+  this->Cluster.runFor(absl::Seconds(2));
+  this->Cluster.submit(this->host("a"), Id, this->Cluster.job(1, 8));
+  this->Cluster.runFor(absl::Seconds(3));
+  ASSERT_EQ(Farm.StartedRuns.size(), 1U);
+  WorkerId Unreachable = Farm.StartedRuns[0].Worker;
+  Farm.Faults = [Unreachable](const std::string &, const WorkerId &Worker) {
+    return Worker == Unreachable ? OrderFault::Drop : OrderFault::None;
+  };
+  this->Cluster.runFor(absl::Seconds(12));
+  ASSERT_EQ(Farm.StartedRuns.size(), 2U);
+  ASSERT_EQ(Farm.EndedRuns.size(), 1U);
+  EXPECT_GE(Farm.StartedRuns[1].At, Farm.EndedRuns[0].At);
+}
+
+// Guards against a successor that waits for the longest lease of a worker that
+// was registered and never answered.
+TEST_F(LeaderTaskTest, WorkerThatNeverAnsweredDoesNotDelayASuccessor) {
+  FakeWorkerFarm &Farm = this->Cluster.Farm;
+  WorkerRegistration Silent;
+  Silent.Id = WorkerId("silent");
+  Silent.Address = Endpoint("127.0.0.1:1");
+  Silent.WorkerPool = "pool";
+  Silent.Capacity = {8000, 64000, 8};
+  Farm.addWorker(Silent);
+  Farm.Faults = [](const std::string &, const WorkerId &Worker) {
+    return Worker == WorkerId("silent") ? OrderFault::Drop : OrderFault::None;
+  };
+  Farm.Durations = [](const TaskKey &) { return absl::Seconds(1); };
+  this->Cluster.runFor(absl::Seconds(3));
+  // The second half of the tasks waits for the first when the leader is lost.
+  this->Cluster.submit(this->standby(), Id, this->Cluster.job(8, 8));
+  this->Cluster.runFor(absl::Milliseconds(300));
+  ASSERT_EQ(Farm.StartedRuns.size(), 4U);
+  this->Cluster.killHost(this->Cluster.leaderName());
+  this->Cluster.runFor(absl::Seconds(6));
+  EXPECT_EQ(Farm.StartedRuns.size(), 8U);
+  EXPECT_EQ(this->repeatedStarts(), 0U);
+}
+
+// Guards against records of finished jobs that stay in the store for the term
+// of a leader because one transaction failed.
+TEST_F(LeaderTaskTest, FailedDeletionIsRepeated) {
+  this->Cluster.submit(this->host("a"), Id, this->Cluster.job(1, 8));
+  this->Cluster.runFor(absl::Seconds(140));
+  ASSERT_TRUE(this->Cluster.Store.has(RecordKeys::job(JobId(Id))));
+  this->Cluster.Store.Faults = [](const std::string &Call) {
+    return Call == "commit" ? StoreFault::Refuse : StoreFault::None;
+  };
+  this->Cluster.runFor(absl::Seconds(20));
+  this->Cluster.Store.Faults = nullptr;
+  this->Cluster.runFor(absl::Seconds(20));
+  EXPECT_FALSE(this->Cluster.Store.has(RecordKeys::job(JobId(Id))));
+  EXPECT_FALSE(this->Cluster.Store.has(RecordKeys::progress(JobId(Id))));
+}
+
 // Guards against a second run of a task that was done. The worker restarts, an
 // acknowledgement for its previous incarnation arrives late, and the worker
 // drops the end of a new run before the leader has seen it.
