Send no request after its timeout

Cause: a process that is paused while it connects gets the connection before the timer that gives the call up, and sends the order on a permission that has run out meanwhile. Workers refuse it by its fencing token or its lease, but only if a successor has reached them.

HttpTest.ConnectionAfterTheTimeoutSendsNothing fails without the check.

--- a/libs/net/src/H2oHttpClient.cpp
+++ b/libs/net/src/H2oHttpClient.cpp
@@ -1,7 +1,8 @@
 #include "net/H2oHttpClient.h"
 
-#include "Address.h"
 #include "base/ErrorKind.h"
+#include "base/SystemBootClock.h"
+#include "net/Address.h"
 #include "net/LoopExecutor.h"
 
 #include "absl/container/flat_hash_map.h"
@@ -28,6 +29,10 @@
   h2o_http1client_t *Client = nullptr;
   std::string RequestText;
   h2o_iovec_t RequestBuffer = {};
+  /// Boot clock time after which the request is not sent any more. A suspended
+  /// or delayed process can get the connection long after the caller has
+  /// decided to send the request.
+  absl::Duration SendBefore = absl::InfiniteDuration();
   bool IsConnected = false;
   /// True once h2o has ended the call or it was cancelled.
   bool IsOver = false;
@@ -62,6 +67,7 @@
   static int onBody(h2o_http1client_t *Client, const char *Error);
 
   LoopExecutor &Loop;
+  SystemBootClock Clock;
   h2o_http1client_ctx_t Context = {};
   h2o_timeout_t IoTimeout = {};
   h2o_multithread_queue_t *Queue = nullptr;
@@ -189,6 +195,12 @@
                                    absl::StrCat("connect failed: ", Error)));
     return nullptr;
   }
+  if (C->Owner->Clock.now() > C->SendBefore) {
+    C->Owner->finishCall(
+        *C, makeError(ErrorKind::NoCapacity,
+                      "the connection was ready after the call's timeout"));
+    return nullptr;
+  }
   C->IsConnected = true;
   *Buffers = &C->RequestBuffer;
   *BufferCount = 1;
@@ -271,6 +283,7 @@
   Impl *I = this->Implementation.get();
   auto NewCall = std::make_shared<Call>();
   NewCall->Done = std::move(Done);
+  NewCall->SendBefore = I->Clock.now() + Timeout;
   CallId Id = I->startCall(To, Request, NewCall);
   if (!NewCall->IsOver)
     NewCall->Timer = I->Loop.runAfter(Timeout, [I, Id] { I->onTimeout(Id); });
--- a/libs/net/tests/HttpTest.cpp
+++ b/libs/net/tests/HttpTest.cpp
@@ -4,6 +4,8 @@
 #include "net/HttpServer.h"
 #include "net/LoopExecutor.h"
 
+#include "absl/time/clock.h"
+
 #include <gtest/gtest.h>
 
 using namespace vanillayard;
@@ -42,6 +44,31 @@
 
 } // namespace
 
+// Guards against a request that is sent after its caller has given it up: a
+// process that was paused while it connected would give an order on a
+// permission that has run out.
+TEST_F(HttpTest, ConnectionAfterTheTimeoutSendsNothing) {
+  int Requests = 0;
+  this->serve([&Requests](HttpRequest, auto Responder) {
+    ++Requests;
+    Responder->respond({});
+  });
+  absl::Status Result = absl::OkStatus();
+  this->Loop.post([&] {
+    // Runs before the connection is reported, in the same iteration of the
+    // loop, so that the timeout has passed but its timer has not run.
+    this->Loop.post([] { absl::SleepFor(absl::Milliseconds(300)); });
+    this->Client->send(this->Server->address(), {}, absl::Milliseconds(100),
+                       [&](absl::StatusOr<HttpResponse> Response) {
+                         Result = Response.status();
+                       });
+  });
+  this->Loop.runAfter(absl::Seconds(1), [this] { this->Loop.stop(); });
+  this->Loop.run();
+  EXPECT_EQ(errorKindOf(Result), ErrorKind::NoCapacity) << Result;
+  EXPECT_EQ(Requests, 0);
+}
+
 // Guards against a part of a request or response that is lost or changed, also
 // when the client reuses a connection.
 TEST_F(HttpTest, CarriesMethodPathQueryHeadersAndBody) {
