Mend faults that were noticed while wording was changed

- JobApi took each unknown path for a job; POST / submitted one.
- A drain after SIGTERM replaced the callback that stops the process.
- RelayedStore could ask peers without end when their list shrank.
- Sums of load overflowed; counts of workers were narrowed or negative.
- A body within its limit could exceed the store's limit as a record, and so could results.
- A pause of 1.4 s closed idle connections between peers with an idle timeout of 3 s; keep-alives are now due after a third of it.
- PeerPlannerClient's callbacks outlived it.
The daemon ends all its parts with its loop, so no run shows this; the guard has no test of its own.
- The load tool read its hosts without their mutex.
No test: a data race that a run shows only by chance.

Each of the others has a test that fails without the change.

--- a/libs/daemon/include/daemon/Daemon.h
+++ b/libs/daemon/include/daemon/Daemon.h
@@ -37,8 +37,8 @@
   /// Shuts down gracefully: announces the shutdown to peers and to the load
   /// balancer, gives up the planner role, stops accepting connections, forwards
   /// queued requests to peers and finishes those in progress.
-  /// \param Done called once, at the latest after Settings::ShutdownGrace; a
-  ///        second call of shutDown() replaces it.
+  /// \param Done called once, at the latest after Settings::ShutdownGrace. If
+  ///        shutDown() is called again, the callbacks of all calls run then.
   void shutDown(std::function<void()> Done);
 
   class Impl;
--- a/libs/daemon/include/daemon/PeerPlannerClient.h
+++ b/libs/daemon/include/daemon/PeerPlannerClient.h
@@ -49,8 +49,8 @@
   Membership &Peers;
   PlannerTask &Planner;
   DataCentreId DataCentre;
-  /// Retry timers hold a weak pointer to this object and do nothing once it
-  /// has expired.
+  /// Callbacks hold a weak pointer to this object and do nothing once it has
+  /// expired.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
--- a/libs/daemon/src/DaemonImpl.cpp
+++ b/libs/daemon/src/DaemonImpl.cpp
@@ -211,12 +211,9 @@
 }
 
 void Daemon::Impl::shutDown(std::function<void()> Done) {
-  if (this->IsLeaving) {
-    this->ShutdownDone = std::move(Done);
+  this->ShutdownCallbacks.push_back(std::move(Done));
+  if (std::exchange(this->IsLeaving, true))
     return;
-  }
-  this->IsLeaving = true;
-  this->ShutdownDone = std::move(Done);
   this->ShutdownDeadline = this->Loop.now() + this->Options.ShutdownGrace;
   this->Output.info("daemon", "graceful shutdown begins");
   this->Events.record("leaving", "daemon", this->Options.Host.str());
@@ -235,14 +232,13 @@
   bool IsLate = this->Loop.now() >= this->ShutdownDeadline;
   if (!IsIdle && !IsLate)
     return;
-  if (!this->ShutdownDone)
+  if (this->ShutdownCallbacks.empty())
     return;
   this->Output.info(
       "daemon", "graceful shutdown ends",
       {{"idle", IsIdle}, {"requests_left", this->Requests->unfinishedCount()}});
-  std::function<void()> Done = std::move(this->ShutdownDone);
-  this->ShutdownDone = nullptr;
-  Done();
+  for (const auto &Done : std::exchange(this->ShutdownCallbacks, {}))
+    Done();
 }
 
 } // namespace vanillayard
--- a/libs/daemon/src/DaemonImpl.h
+++ b/libs/daemon/src/DaemonImpl.h
@@ -109,7 +109,7 @@
   absl::Time NextHostListFetch = absl::InfinitePast();
   bool HostListInFlight = false;
   Executor::TimerId TickTimer = 0;
-  std::function<void()> ShutdownDone;
+  std::vector<std::function<void()>> ShutdownCallbacks;
 };
 
 } // namespace vanillayard
--- a/libs/daemon/src/JobApi.cpp
+++ b/libs/daemon/src/JobApi.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Digest.h"
 #include "base/ErrorKind.h"
+#include "base/JsonText.h"
 #include "daemon/JobLookup.h"
 #include "jobs/JobService.h"
 #include "net/ProblemDetails.h"
@@ -101,7 +102,7 @@
 }
 
 absl::StatusOr<JobSpec> JobApi::parse(const std::string &Body) {
-  Json Document = Json::parse(Body, nullptr, /*allow_exceptions=*/false);
+  Json Document = parseUntrustedJson(Body);
   if (!Document.is_object())
     return invalid("the body must be a JSON object");
   JsonFieldReader Reader(Document);
@@ -203,10 +204,12 @@
 void JobApi::handle(const HttpRequest &Request,
                     const std::shared_ptr<HttpResponder> &Responder) {
   std::string_view Path = Request.Path;
-  Path.remove_prefix(std::min(Path.size(), PathPrefix.size()));
-  if (Path.empty() && Request.Method == "POST")
+  bool IsJobPath = Path.starts_with(PathPrefix);
+  if (IsJobPath)
+    Path.remove_prefix(PathPrefix.size());
+  if (IsJobPath && Path.empty() && Request.Method == "POST")
     return this->submit(Request, Responder);
-  if (Path.size() > 1 && Path.front() == '/') {
+  if (IsJobPath && Path.size() > 1 && Path.front() == '/') {
     Path.remove_prefix(1);
     constexpr std::string_view CancelSuffix = "/cancel";
     bool IsCancel = Path.ends_with(CancelSuffix);
--- a/libs/daemon/src/PeerPlannerClient.cpp
+++ b/libs/daemon/src/PeerPlannerClient.cpp
@@ -69,7 +69,10 @@
   State->Id = Id;
   State->RemainingPlanners = this->remotePlanners();
   State->Done = std::move(Done);
-  this->Exec.post([this, State] { this->askNextPlanner(State); });
+  this->Exec.post([this, State, Guard = std::weak_ptr<bool>(this->Alive)] {
+    if (!Guard.expired())
+      this->askNextPlanner(State);
+  });
 }
 
 void PeerPlannerClient::askNextPlanner(const std::shared_ptr<Query> &State) {
@@ -82,7 +85,10 @@
   State->RemainingPlanners.pop_back();
   this->Peers.request(
       To, JobQuery{State->Id}, QueryTimeout,
-      [this, State](const absl::StatusOr<Envelope> &Reply) {
+      [this, State, Guard = std::weak_ptr<bool>(this->Alive)](
+          const absl::StatusOr<Envelope> &Reply) {
+        if (Guard.expired())
+          return;
         const JobReply *Answer =
             Reply.ok() ? std::get_if<JobReply>(&Reply->Message) : nullptr;
         if (!Answer || Answer->Record.empty())
--- a/libs/endpoint/src/WorkerCodec.cpp
+++ b/libs/endpoint/src/WorkerCodec.cpp
@@ -1,6 +1,7 @@
 #include "endpoint/WorkerCodec.h"
 
 #include "base/AbslView.h"
+#include "base/JsonText.h"
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/escaping.h"
@@ -8,6 +9,9 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <limits>
+#include <optional>
+
 namespace vanillayard::worker_codec {
 
 using nlohmann::json;
@@ -47,9 +51,10 @@
 
   void read(const char *Name, int &Value) {
     const json *Field = this->find(Name);
-    if (Field && Field->is_number_integer())
-      Value = Field->get<int>();
-    else if (Field)
+    std::optional<int> Count = Field ? countOf(*Field) : Value;
+    if (Count)
+      Value = *Count;
+    else
       this->fail();
   }
 
@@ -92,13 +97,27 @@
     if (!Field->is_array())
       return this->fail();
     for (const json &Index : *Field) {
-      if (!Index.is_number_integer())
+      std::optional<int> Number = countOf(Index);
+      if (!Number)
         return this->fail();
-      Value.push_back(Index.get<int>());
+      Value.push_back(*Number);
     }
   }
 
 private:
+  /// A number of things or of one among them; nullopt if it is negative or does
+  /// not fit.
+  static std::optional<int> countOf(const json &In) {
+    constexpr int64_t Largest = std::numeric_limits<int>::max();
+    // The library reads integers beyond 2^63 as unsigned ones.
+    bool IsTooLarge =
+        In.is_number_unsigned() && In.get<uint64_t>() > uint64_t{Largest};
+    if (!In.is_number_integer() || IsTooLarge || In.get<int64_t>() < 0 ||
+        In.get<int64_t>() > Largest)
+      return std::nullopt;
+    return In.get<int>();
+  }
+
   const json &Object;
   bool Ok;
 };
@@ -249,7 +268,7 @@
 }
 
 json fromText(std::string_view Text) {
-  return json::parse(Text, nullptr, /*allow_exceptions=*/false);
+  return parseUntrustedJson(Text);
 }
 
 static bool isUnreserved(char C) {
--- a/libs/endpoint/tests/WorkerCodecTest.cpp
+++ b/libs/endpoint/tests/WorkerCodecTest.cpp
@@ -57,6 +57,9 @@
        {"", "[]", "{}", "{\"lease\":1,\"state\":\"held\"}",
         "{\"lease\":\"l\",\"state\":\"odd\"}",
         "{\"lease\":\"l\",\"state\":\"held\",\"slots\":\"1\"}",
+        "{\"lease\":\"l\",\"state\":\"held\",\"slots\":4294967297}",
+        "{\"lease\":\"l\",\"state\":\"held\",\"slots\":-1}",
+        "{\"lease\":\"l\",\"state\":\"held\",\"accelerators\":[-1]}",
         "{\"lease\":\"l\",\"state\":\"held\",\"epoch\":[1]}",
         "{\"lease\":\"l\",\"state\":\"held\",\"accelerators\":[null]}"})
     EXPECT_FALSE(decodeLeaseReport(fromText(Text))) << Text;
--- a/libs/jobs/include/jobs/JobRecord.h
+++ b/libs/jobs/include/jobs/JobRecord.h
@@ -27,9 +27,12 @@
 struct JobRecord {
   static constexpr std::string_view KeyPrefix = "/vanillayard/jobs/";
   static constexpr std::string_view IdPrefix = "job-";
-  /// Limit for the results of all members together. The store holds values up
-  /// to 1 MB; larger results are left out of the record.
-  static constexpr size_t MaxResultBytes = 700 << 10;
+  /// Longest encoded record, below the store's limit of 1 MB for a value.
+  /// Results that make a record longer are left out of it.
+  static constexpr size_t MaxRecordBytes = 960 << 10;
+  /// Longest encoded record of a submission. The rest of MaxRecordBytes is for
+  /// the placement of a gang of the largest size.
+  static constexpr size_t MaxSubmittedBytes = 700 << 10;
 
   JobId Id;
   JobSpec Spec;
--- a/libs/jobs/src/JobService.cpp
+++ b/libs/jobs/src/JobService.cpp
@@ -13,8 +13,7 @@
 
 /// Maximum number of members of a gang; bounds the size of a record.
 static constexpr int MaxMembers = 1024;
-/// Maximum size of a body, so that a record stays below the store's limit of
-/// 1 MB for a value.
+/// Maximum size of a body.
 static constexpr size_t MaxBodyBytes = 256 << 10;
 
 /// A caller that waits for the end of a job.
@@ -83,6 +82,15 @@
   Record.RequestDigest = JobRecord::digestOf(Spec);
   Record.DataCentre = this->DataCentre;
   Record.Submitted = this->Exec.now();
+  // Characters that JSON escapes take up to six times their size.
+  if (Record.encode().size() > JobRecord::MaxSubmittedBytes) {
+    this->Exec.post([Done = std::move(Done)] {
+      Done(makeError(ErrorKind::PayloadTooLarge,
+                     fmt::format("the record of the job would exceed {} bytes",
+                                 JobRecord::MaxSubmittedBytes)));
+    });
+    return;
+  }
   this->Jobs.create(Record, [this, Done = std::move(Done)](
                                 absl::StatusOr<StoredJob> Created) {
     if (Created.ok() && !isTerminal(Created->Record.State))
--- a/libs/jobs/src/PlannerOutcome.cpp
+++ b/libs/jobs/src/PlannerOutcome.cpp
@@ -139,12 +139,11 @@
   const JobSpec &Spec = Job.Record.Spec;
   this->Correction.learn(Spec.Account, Spec.Kind, Spec.DeclaredRunTime,
                          this->now() - Job.StartedAt);
-  size_t Bytes = 0;
-  for (const std::string &Result : Results)
-    Bytes += Result.size();
-  Job.Record.ResultsOmitted = Bytes > JobRecord::MaxResultBytes;
-  if (!Job.Record.ResultsOmitted)
-    Job.Record.Results = std::move(Results);
+  Job.Record.Results = std::move(Results);
+  Job.Record.ResultsOmitted =
+      Job.Record.encode().size() > JobRecord::MaxRecordBytes;
+  if (Job.Record.ResultsOmitted)
+    Job.Record.Results.clear();
   this->recordOutcome(Job, JobState::Finished, "", true);
 }
 
--- a/libs/jobs/tests/JobServiceTest.cpp
+++ b/libs/jobs/tests/JobServiceTest.cpp
@@ -46,6 +46,17 @@
   EXPECT_TRUE(this->Answers.back().ok()) << "the record was read again";
 }
 
+// Guards against a body within its limit whose record the store refuses, as
+// JSON escapes control characters.
+TEST_F(JobServiceTest, BodyThatGrowsInTheRecordIsRefused) {
+  this->Spec.Body = std::string(200 << 10, '\x01');
+  this->submit(this->Spec, "k");
+  EXPECT_EQ(this->lastError(), ErrorKind::PayloadTooLarge);
+  this->Spec.Body = std::string(200 << 10, 'a');
+  this->submit(this->Spec, "l");
+  EXPECT_TRUE(this->Answers.back().ok());
+}
+
 // Guards against answering "not run" for a job whose write may still take
 // effect (guarantee G4).
 TEST_F(JobServiceTest, NotRunIsReportedOnlyIfNothingWasWritten) {
--- a/libs/peer/src/TcpPeerTransportImpl.cpp
+++ b/libs/peer/src/TcpPeerTransportImpl.cpp
@@ -17,7 +17,10 @@
 static constexpr std::string_view GreetingPrefix = "VYP1 ";
 static constexpr size_t MaxGreetingBytes = 128;
 static constexpr absl::Duration TickInterval = absl::Seconds(1);
-static constexpr absl::Duration KeepAliveAfter = absl::Seconds(2);
+static constexpr absl::Duration MaxKeepAliveAfter = absl::Seconds(2);
+/// A keep-alive is due after this share of the idle timeout, so that a process
+/// that is paused for less than the rest does not seem to be silent.
+static constexpr int KeepAlivesPerIdleTimeout = 3;
 /// A new connection replaces one that has been silent for this long, whoever
 /// dialled it.
 static constexpr absl::Duration StaleAfter = absl::Seconds(4);
@@ -277,6 +280,8 @@
   // counts as silent.
   bool WasPaused = Now - this->LastTick > 3 * TickInterval;
   this->LastTick = Now;
+  absl::Duration KeepAliveAfter =
+      std::min(MaxKeepAliveAfter, this->IdleTimeout / KeepAlivesPerIdleTimeout);
   std::vector<Id> Silent;
   for (auto &[Number, C] : this->Connections) {
     absl::Duration Limit =
--- a/libs/peer/tests/TcpPeerTransportTest.cpp
+++ b/libs/peer/tests/TcpPeerTransportTest.cpp
@@ -2,6 +2,8 @@
 #include "net/FramedListener.h"
 #include "net/LoopExecutor.h"
 
+#include "absl/time/clock.h"
+
 #include <gtest/gtest.h>
 
 #include <functional>
@@ -73,6 +75,24 @@
   EXPECT_EQ(Received, 0);
 }
 
+// Guards against closing connections because the process itself was paused for
+// less time than the idle timeout.
+TEST_F(TcpPeerTransportTest, KeepsAnIdleConnectionOpenAcrossAPause) {
+  auto A = this->make(absl::Seconds(3));
+  auto B = this->make(absl::Seconds(3));
+  A->connect(B->address());
+  ASSERT_TRUE(this->runUntil([&] { return A->send(B->address(), "x").ok(); }));
+  absl::Time Connected = this->Loop.now();
+  this->Loop.runAfter(absl::Milliseconds(1800),
+                      [] { absl::SleepFor(absl::Milliseconds(1400)); });
+  bool WasDown = false;
+  this->runUntil([&] {
+    WasDown |= A->connectionCount() != 1;
+    return this->Loop.now() > Connected + absl::Seconds(5);
+  });
+  EXPECT_FALSE(WasDown);
+}
+
 // Guards against the idle timeout closing a connection to a peer that is alive:
 // received keep-alives must count as activity.
 TEST_F(TcpPeerTransportTest, KeepsAnIdleConnectionOpen) {
--- a/libs/storerelay/src/RelayedStore.cpp
+++ b/libs/storerelay/src/RelayedStore.cpp
@@ -76,7 +76,8 @@
   void callPeer(Operation<Result> Invoke, std::function<void(Result)> Done,
                 size_t Asked) {
     std::shared_ptr<CoordinationStore> Peer = this->Peers.firstPeer();
-    if (!Peer || Asked == std::min(MaxPeersAsked, this->Peers.count())) {
+    // The list of peers can have become shorter since the first one was asked.
+    if (!Peer || Asked >= std::min(MaxPeersAsked, this->Peers.count())) {
       this->Router.startPeerBackoff(this->Exec.now());
       return Done(
           makeError(ErrorKind::PlatformUnavailable,
--- a/libs/storerelay/tests/FakePeers.h
+++ b/libs/storerelay/tests/FakePeers.h
@@ -5,6 +5,7 @@
 #include "storerelay/StorePeers.h"
 
 #include <algorithm>
+#include <functional>
 #include <vector>
 
 namespace vanillayard {
@@ -13,6 +14,8 @@
 class FakePeers final : public StorePeers {
 public:
   std::vector<std::shared_ptr<CoordinationStore>> Stores;
+  /// Called after each demotion, if set.
+  std::function<void()> OnDemoted;
 
   size_t count() const override { return this->Stores.size(); }
   std::shared_ptr<CoordinationStore> firstPeer() override {
@@ -24,6 +27,8 @@
         [&Peer](const auto &Store) { return Store.get() == &Peer; });
     if (Found != this->Stores.end())
       std::rotate(Found, Found + 1, this->Stores.end());
+    if (this->OnDemoted)
+      this->OnDemoted();
   }
 };
 
--- a/libs/storerelay/tests/RelayedStoreTest.cpp
+++ b/libs/storerelay/tests/RelayedStoreTest.cpp
@@ -79,6 +79,32 @@
   EXPECT_TRUE(this->put("k").ok());
 }
 
+// Guards against asking peers without end when the list of peers becomes
+// shorter than the number of those already asked.
+TEST_F(RelayedStoreTest, ShorterListOfPeersEndsTheSearch) {
+  std::vector<std::shared_ptr<FaultInjectingStore>> All;
+  for (int I = 0; I < 3; ++I) {
+    All.push_back(this->addPeer());
+    All.back()->Failure = ErrorKind::PlatformUnavailable;
+  }
+  this->Direct.Failure = ErrorKind::PlatformUnavailable;
+  int Demotions = 0;
+  this->Peers.OnDemoted = [&] {
+    if (++Demotions == 2)
+      this->Peers.Stores.resize(1);
+    // Ends the test if the search does not end.
+    if (Demotions == 100)
+      this->Peers.Stores.clear();
+  };
+  absl::Status Status = absl::OkStatus();
+  this->Store.get("k", [&](absl::StatusOr<std::optional<StoreItem>> Answer) {
+    Status = Answer.status();
+  });
+  this->Exec.advance(absl::Seconds(1));
+  EXPECT_EQ(errorKindOf(Status), ErrorKind::PlatformUnavailable);
+  EXPECT_LE(Demotions, 3);
+}
+
 // Guards against applying a write twice: an unanswered write may still take
 // effect.
 TEST_F(RelayedStoreTest, CallWithoutAnswerIsNotRepeated) {
--- a/libs/wire/include/wire/LoadSummary.h
+++ b/libs/wire/include/wire/LoadSummary.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <limits>
 
 namespace vanillayard {
 
@@ -25,15 +26,19 @@
 
   friend bool operator==(const LoadSummary &, const LoadSummary &) = default;
 
-  /// Adds the load of another host: sums the counts and takes the larger delay
-  /// and the larger gang size.
+  /// Adds the load of another host: sums the counts, up to the largest 64-bit
+  /// number, and takes the larger delay and the larger gang size. No count may
+  /// be negative.
   void add(const LoadSummary &Other) {
-    this->QueuedUrgent += Other.QueuedUrgent;
-    this->QueuedNormal += Other.QueuedNormal;
-    this->QueuedDeferrable += Other.QueuedDeferrable;
-    this->FreeSlots += Other.FreeSlots;
-    this->TotalSlots += Other.TotalSlots;
-    this->FreeAccelerators += Other.FreeAccelerators;
+    auto Add = [](int64_t &Sum, int64_t Count) {
+      Sum += std::min(Count, std::numeric_limits<int64_t>::max() - Sum);
+    };
+    Add(this->QueuedUrgent, Other.QueuedUrgent);
+    Add(this->QueuedNormal, Other.QueuedNormal);
+    Add(this->QueuedDeferrable, Other.QueuedDeferrable);
+    Add(this->FreeSlots, Other.FreeSlots);
+    Add(this->TotalSlots, Other.TotalSlots);
+    Add(this->FreeAccelerators, Other.FreeAccelerators);
     this->QueueDelay = std::max(this->QueueDelay, Other.QueueDelay);
     this->LargestStartableGang =
         std::max(this->LargestStartableGang, Other.LargestStartableGang);
--- a/libs/wire/tests/WireCodecTest.cpp
+++ b/libs/wire/tests/WireCodecTest.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,17 @@
           anyCount()};
 }
 
+// Guards against undefined behaviour when the loads of faulty hosts are added.
+TEST(LoadSummaryTest, SumsEndAtTheLargestNumber) {
+  LoadSummary Sum;
+  Sum.FreeSlots = std::numeric_limits<int64_t>::max() - 1;
+  Sum.QueuedUrgent = 3;
+  LoadSummary Other = Sum;
+  Sum.add(Other);
+  EXPECT_EQ(Sum.FreeSlots, std::numeric_limits<int64_t>::max());
+  EXPECT_EQ(Sum.QueuedUrgent, 6);
+}
+
 static WorkerView anyView() {
   return {anyId<WorkerId>(), anyId<Endpoint>(), anyId<RackId>(), anyInt32(),
           anyInt32(),        anyBool(),         anyBool(),       anyInt32(),
--- a/tests/system/src/BadInputTest.cpp
+++ b/tests/system/src/BadInputTest.cpp
@@ -133,6 +133,19 @@
     this->expectProblem(this->send(0, Changed), IsAccount ? 403 : 400,
                         IsAccount ? "unknown_account" : "unknown_kind");
   }
+  for (const char *Path : {"/", "/v1/abcd", "/v1/jobsx", "/v2/jobs"}) {
+    SCOPED_TRACE(Path);
+    HttpRequest Job;
+    Job.Method = "POST";
+    Job.Path = Path;
+    Job.Body = gangJob(1, "{}").dump();
+    this->expectProblem(this->send(0, Job), 404, "not_found");
+  }
+  {
+    SCOPED_TRACE("very deeply nested JSON");
+    this->expectProblem(this->sendJob(std::string(200000, '[')), 400,
+                        "invalid_request");
+  }
   {
     SCOPED_TRACE("malformed JSON");
     this->expectProblem(this->sendJob("{\"account\": "), 400,
--- a/tests/system/src/EntryHostTest.cpp
+++ b/tests/system/src/EntryHostTest.cpp
@@ -117,4 +117,23 @@
   EXPECT_GE(Answered, this->Callers.size() / 2);
 }
 
+// Guards against a host that never exits because an operator drains it while it
+// shuts down.
+TEST_F(EntryHostTest, DrainDuringTheShutdownDoesNotPreventTheExit) {
+  this->startCluster(Cluster::Builder().workersPerDataCentre(1));
+  if (this->HasFatalFailure())
+    return;
+  EntryHostNode &Host = this->cluster().host(0);
+  Host.Running->terminate();
+  ASSERT_TRUE(this->waitUntil([&] {
+    auto Health = this->cluster().http().get(Host.Admin, "/healthz");
+    return Health.ok() && Health->Status == 503;
+  }));
+  auto Drain = this->cluster().http().post(Host.Admin, "/v1/admin/drain",
+                                           "{\"host\":true}");
+  ASSERT_TRUE(Drain.ok());
+  EXPECT_EQ(Drain->Status, 202);
+  EXPECT_EQ(Host.Running->waitForExit().value_or(-1), 0);
+}
+
 } // namespace vanillayard
--- a/tools/load/src/LoadRun.cpp
+++ b/tools/load/src/LoadRun.cpp
@@ -46,8 +46,13 @@
 void LoadRun::runDriver() {
   LoopExecutor Loop;
   H2oHttpClient Client(Loop);
+  std::vector<Endpoint> FirstHosts;
+  {
+    std::lock_guard<std::mutex> Lock(this->HostsMutex);
+    FirstHosts = this->Hosts;
+  }
   auto Driver = OpenLoopDriver::Builder(Loop, Client)
-                    .hosts(this->Hosts)
+                    .hosts(std::move(FirstHosts))
                     .workload(std::move(this->Load))
                     .recorder(this->Records)
                     .runName(this->Name)
