Keep messages of the log apart from the lines of requests

Cause: one rate limiter had 1024 keys for both.

LogTest.ManyRequestsDoNotSuppressOtherMessages fails without the change.

--- a/libs/observe/include/observe/Log.h
+++ b/libs/observe/include/observe/Log.h
@@ -63,7 +63,10 @@
   const Executor &Exec;
   Sink Output;
   LogLevel Minimum = LogLevel::Info;
-  RateLimiter Limiter;
+  /// Keys of request lines can be many and then share one limit, so messages
+  /// have a limiter of their own.
+  RateLimiter MessageLimiter;
+  RateLimiter KeyLimiter;
 };
 
 } // namespace vanillayard
--- a/libs/observe/src/Log.cpp
+++ b/libs/observe/src/Log.cpp
@@ -43,7 +43,9 @@
 Log::Log(const Executor &Exec) : Log(Exec, writeToStandardError) {}
 
 Log::Log(const Executor &Exec, Sink Output)
-    : Exec(Exec), Output(std::move(Output)), Limiter(LinesPerWindow, Window) {}
+    : Exec(Exec), Output(std::move(Output)),
+      MessageLimiter(LinesPerWindow, Window),
+      KeyLimiter(LinesPerWindow, Window) {}
 
 void Log::debug(std::string_view Component, std::string_view Message,
                 Fields Pairs) {
@@ -69,8 +71,9 @@
                        std::string_view Message, Fields Pairs) {
   if (!this->isEnabled(Level))
     return;
-  this->write(Level, Component, Message, Pairs,
-              fmt::format("{}: {}", Component, Message));
+  std::string Key = fmt::format("{}: {}", Component, Message);
+  if (auto Suppressed = this->MessageLimiter.admit(Key, this->Exec.now()))
+    this->emit(Level, Component, Message, Pairs, *Suppressed);
 }
 
 void Log::write(LogLevel Level, std::string_view Component,
@@ -78,15 +81,15 @@
                 std::string_view RateKey) {
   if (!this->isEnabled(Level))
     return;
-  if (auto Suppressed = this->Limiter.admit(RateKey, this->Exec.now()))
+  if (auto Suppressed = this->KeyLimiter.admit(RateKey, this->Exec.now()))
     this->emit(Level, Component, Message, Pairs, *Suppressed);
 }
 
 void Log::flushSuppressed() {
-  for (const auto &[Key, Count] :
-       this->Limiter.takeEndedWindows(this->Exec.now()))
-    this->emit(LogLevel::Info, "log", "repeated log lines were suppressed",
-               {{"key", Key}}, Count);
+  for (RateLimiter *Limiter : {&this->MessageLimiter, &this->KeyLimiter})
+    for (const auto &[Key, Count] : Limiter->takeEndedWindows(this->Exec.now()))
+      this->emit(LogLevel::Info, "log", "repeated log lines were suppressed",
+                 {{"key", Key}}, Count);
 }
 
 void Log::emit(LogLevel Level, std::string_view Component,
--- a/libs/observe/tests/LogTest.cpp
+++ b/libs/observe/tests/LogTest.cpp
@@ -40,6 +40,17 @@
             "raw=\"UNAVAILABLE: x\"\n");
 }
 
+// Guards against a change of the leader that is missing in the log because the
+// lines of many requests have used up the rate limit.
+TEST_F(LogTest, ManyRequestsDoNotSuppressOtherMessages) {
+  for (int I = 0; I < 5000; ++I)
+    this->Output.write(LogLevel::Info, "scheduler", "job is known", {{"n", I}},
+                       "known: " + std::to_string(I));
+  size_t Before = this->Lines.size();
+  this->Output.info("role", "this host is the leader");
+  EXPECT_EQ(this->Lines.size(), Before + 1);
+}
+
 // Guards against a flood of equal lines that fills the output, also when each
 // line has a rate key of its own.
 TEST_F(LogTest, LimitsFloodsAndCountsSuppressedLines) {
