Keep the leader's role and the workers' leases through an outage

Workers with unrecorded ends are polled every 0.7 s. A second key without a lease, vy/term, is written by each claim; if it is unchanged, no other host has led meanwhile, and the leader writes its key again and goes on. Other hosts wait 0.7 s longer after an outage and read the key before they claim it. An unconfirmed leader goes on to start jobs that it has known since before its last confirmation: a successor finds all of these and starts none before it knows the runs of all workers.

Ruled out: longer leases (a lost worker's tasks would wait longer); showing ends from the leader's memory (a successor could contradict them if the worker is lost as well).

Proof: LeaderFuzzTest now cuts single hosts off from the store.

--- a/libs/control/include/control/LeaderRole.h
+++ b/libs/control/include/control/LeaderRole.h
@@ -33,6 +33,11 @@
 /// hold the role: isConfirmed() is false then. The host keeps the role for
 /// MaxUnconfirmed longer, so that running work continues through an outage of
 /// the store, during which no other host can gain the role either.
+///
+/// The key may expire in an outage. A second key, vy/term, has no lease and is
+/// written by each claim. If it still has the revision of this host's claim, no
+/// other host has held the role meanwhile: the host writes the leader's key
+/// again and keeps the role with all its state.
 class LeaderRole {
 public:
   class Builder {
@@ -53,6 +58,10 @@
     /// Delay before this host claims a vacant role, so that preferred hosts
     /// claim it first. Default 0.
     Builder &candidateDelay(absl::Duration Value);
+    /// Additional delay if the store has not answered this host lately, so that
+    /// a leader whose key has expired in an outage can write it again. Default
+    /// 700 ms.
+    Builder &returnDelay(absl::Duration Value);
     std::unique_ptr<LeaderRole> build();
 
   private:
@@ -66,6 +75,7 @@
     absl::Duration TimeToLive = absl::Seconds(3);
     absl::Duration MaxUnconfirmed = absl::Seconds(6);
     absl::Duration CandidateDelay = absl::ZeroDuration();
+    absl::Duration ReturnDelay = absl::Milliseconds(700);
   };
 
   ~LeaderRole();
@@ -78,6 +88,16 @@
   /// Whether the lease is confirmed, so that no other host can hold the role
   /// now and this host may start runs.
   bool isConfirmed() const;
+  /// Jobs that this host has known since before this time may be started:
+  /// InfiniteFuture while the role is confirmed, InfinitePast if none may be.
+  ///
+  /// While the role is unconfirmed, another host may have gained it. It starts
+  /// none of the jobs that it finds when it loads the records before it has
+  /// read the runs of all workers, or their leases have expired, and every
+  /// start of this host ends with such a lease. So this host may go on to start
+  /// the jobs that it has known since before its last confirmation, as a
+  /// successor finds all of them.
+  absl::Time startableJobsKnownBefore(absl::Duration LeaseTime) const;
   /// Longest time from now for which workers' leases may be extended. A
   /// successor waits at least until then before it treats the runs of an
   /// unreachable worker as ended. Zero or less if no lease may be
@@ -85,6 +105,10 @@
   /// \param LeaseTime the deployment's lease for workers.
   absl::Duration maxWorkerLease(absl::Duration LeaseTime) const;
 
+  /// Finds out whether this host still holds the role, after a write has found
+  /// another or no leader's key. The role is unconfirmed until then.
+  void verify();
+
   /// Gives up the role because a worker has refused this leader's fencing
   /// token. This host may claim the role again later.
   void stepDown();
--- a/libs/control/include/control/LeaderTask.h
+++ b/libs/control/include/control/LeaderTask.h
@@ -44,6 +44,7 @@
   void configurationChanged(std::shared_ptr<const QueueTable> Newer);
 
   void roleGained(int64_t Fence) override;
+  void roleReclaimed(int64_t KeyRevision) override;
   void roleLost() override;
 
   /// Whether this host is the leader and has loaded the records.
--- a/libs/control/include/control/RecordKeys.h
+++ b/libs/control/include/control/RecordKeys.h
@@ -14,6 +14,7 @@
 /// | key              | content                              | writer |
 /// | ---------------- | ------------------------------------ | ------ |
 /// | vy/leader        | the leader's host, under its lease   | leader |
+/// | vy/term          | the host that claimed the role last  | leader |
 /// | vy/job/ID        | the accepted job, never changed      | any host |
 /// | vy/job/ID/cancel | the job's cancellation               | any host |
 /// | vy/progress/ID   | state and progress; created with the job | leader |
@@ -23,6 +24,7 @@
 class RecordKeys {
 public:
   static constexpr std::string_view Leader = "vy/leader";
+  static constexpr std::string_view Term = "vy/term";
   static constexpr std::string_view JobPrefix = "vy/job/";
   static constexpr std::string_view ProgressPrefix = "vy/progress/";
   static constexpr std::string_view Workers = "vy/workers";
--- a/libs/control/src/LeaderRole.cpp
+++ b/libs/control/src/LeaderRole.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <map>
 #include <utility>
 
 namespace vanillayard {
@@ -18,6 +19,15 @@
 static constexpr int RenewalsPerTimeToLive = 4;
 /// Delay before a failed call to the store is retried.
 static constexpr absl::Duration RetryDelay = absl::Milliseconds(300);
+/// The same for a leader that writes its expired key again, which other hosts
+/// await for Builder::returnDelay().
+static constexpr absl::Duration ReclaimRetryDelay = absl::Milliseconds(100);
+/// Shortest lease with which an unconfirmed leader starts a task. The task is
+/// lost if the store does not return before the lease ends.
+static constexpr absl::Duration MinLeaseForStart = absl::Seconds(1);
+/// Time after a failed call to the store for which a vacant role counts as the
+/// result of an outage.
+static constexpr absl::Duration OutageMemory = absl::Seconds(3);
 /// Maximum duration of one watch call for the leader's key. A dead connection
 /// is noticed only after it, so it bounds the time that a takeover needs.
 static constexpr absl::Duration WatchTime = absl::Milliseconds(2000);
@@ -30,11 +40,19 @@
 
   void readHolder();
   void follow(int64_t Revision);
+  void standForVacancy();
+  void checkVacancy();
   void campaign();
   void claimRole(int64_t NewLease, absl::Duration SentAt);
   void claimAnswered(const absl::StatusOr<StoreCommit> &Result,
                      int64_t NewLease, absl::Duration SentAt);
   void becomeLeader(int64_t Revision, int64_t NewLease, absl::Duration SentAt);
+  void beginReclaim();
+  void reclaim();
+  void rewriteKey(int64_t NewLease, absl::Duration SentAt);
+  void rewriteAnswered(const absl::StatusOr<StoreCommit> &Result,
+                       int64_t NewLease, absl::Duration SentAt);
+  void keepRole(int64_t Revision, int64_t NewLease, absl::Duration SentAt);
   void renewLease();
   void renewalAnswered(const absl::Status &Result, absl::Duration SentAt);
   void loseRole(std::string_view Reason);
@@ -53,6 +71,14 @@
   /// it and do nothing.
   uint64_t Generation = 0;
   int64_t Lease = 0;
+  /// Revision of the leader's key and of vy/term, as this host wrote them.
+  int64_t KeyRevision = 0;
+  /// The leader's key has expired, or may have; another host may claim it.
+  bool IsLapsed = false;
+  /// Leases under which this host may have written the leader's key, with the
+  /// boot clock times at which they were requested.
+  std::map<int64_t, absl::Duration> ClaimLeases;
+  absl::Time LastFailureAt = absl::InfinitePast();
   /// Boot clock time at which the latest confirmed renewal was sent.
   absl::Duration ConfirmedAt = -absl::InfiniteDuration();
 };
@@ -77,12 +103,45 @@
         std::shared_ptr<Impl> Self = Weak.lock();
         if (!Self || Self->Generation != Expected)
           return;
-        if (!Result.ok())
+        if (!Result.ok()) {
+          Self->LastFailureAt = Self->Options.Exec.now();
           Self->runLater(RetryDelay, &Impl::readHolder);
-        else if (Result->has_value())
+        } else if (Result->has_value()) {
           Self->follow((*Result)->StoreRevision);
-        else
-          Self->runLater(Self->Options.CandidateDelay, &Impl::campaign);
+        } else {
+          Self->standForVacancy();
+        }
+      });
+}
+
+/// Claims the vacant role after the delay of this host, if it is still vacant
+/// then.
+void LeaderRole::Impl::standForVacancy() {
+  bool IsAfterOutage =
+      this->Options.Exec.now() - this->LastFailureAt < OutageMemory;
+  absl::Duration Delay = this->Options.CandidateDelay;
+  if (IsAfterOutage)
+    Delay += this->Options.ReturnDelay;
+  this->runLater(Delay, &Impl::checkVacancy);
+}
+
+/// Many hosts find the role vacant at the same time. A read costs less than a
+/// claim that fails.
+void LeaderRole::Impl::checkVacancy() {
+  uint64_t Expected = ++this->Generation;
+  std::weak_ptr<Impl> Weak = this->weak_from_this();
+  this->Options.Store.get(
+      std::string(RecordKeys::Leader),
+      [Weak, Expected](absl::StatusOr<std::optional<StoreItem>> Result) {
+        std::shared_ptr<Impl> Self = Weak.lock();
+        if (!Self || Self->Generation != Expected)
+          return;
+        if (Result.ok() && !Result->has_value())
+          return Self->campaign();
+        if (Result.ok())
+          return Self->follow((*Result)->StoreRevision);
+        Self->LastFailureAt = Self->Options.Exec.now();
+        Self->runLater(RetryDelay, &Impl::readHolder);
       });
 }
 
@@ -96,14 +155,16 @@
         std::shared_ptr<Impl> Self = Weak.lock();
         if (!Self || Self->Generation != Expected)
           return;
-        if (!Result.ok())
+        if (!Result.ok()) {
+          Self->LastFailureAt = Self->Options.Exec.now();
           return Self->runLater(RetryDelay, &Impl::readHolder);
+        }
         if (Result->IsHistoryLost)
           return Self->readHolder();
         bool IsVacant =
             !Result->Changes.empty() && Result->Changes.back().IsDeleted;
         if (IsVacant)
-          Self->runLater(Self->Options.CandidateDelay, &Impl::campaign);
+          Self->standForVacancy();
         else
           Self->follow(Result->Revision);
       });
@@ -134,6 +195,8 @@
   StoreTransaction Claim;
   Claim.Conditions.push_back({Key, 0});
   Claim.Puts.push_back({Key, this->holderValue(NewLease), NewLease});
+  Claim.Puts.push_back(
+      {std::string(RecordKeys::Term), this->Options.Host.str(), 0});
   std::weak_ptr<Impl> Weak = this->weak_from_this();
   this->Options.Store.commit(std::move(Claim),
                              [Weak, Expected = this->Generation, NewLease,
@@ -174,6 +237,8 @@
   this->Current = Phase::Leading;
   ++this->Generation;
   this->Lease = NewLease;
+  this->KeyRevision = Revision;
+  this->IsLapsed = false;
   this->ConfirmedAt = SentAt;
   this->Options.Events.info("role", "this host is the leader",
                             {{"fence", Revision}, {"lease", NewLease}});
@@ -182,6 +247,94 @@
   this->Options.Listener->roleGained(Revision);
 }
 
+void LeaderRole::Impl::beginReclaim() {
+  ++this->Generation;
+  this->IsLapsed = true;
+  this->ClaimLeases = {{this->Lease, this->ConfirmedAt}};
+  this->Options.Events.warning("role", "the leader's key has expired",
+                               {{"since_confirmed", this->sinceConfirmed()}});
+  this->reclaim();
+}
+
+void LeaderRole::Impl::reclaim() {
+  if (this->sinceConfirmed() >
+      this->Options.TimeToLive + this->Options.MaxUnconfirmed)
+    return this->loseRole("its lease was not confirmed for too long");
+  absl::Duration SentAt = this->Options.Clock.now();
+  std::weak_ptr<Impl> Weak = this->weak_from_this();
+  this->Options.Store.grantLease(
+      this->Options.TimeToLive,
+      [Weak, Expected = this->Generation, SentAt](absl::StatusOr<int64_t> Id) {
+        std::shared_ptr<Impl> Self = Weak.lock();
+        if (!Self || Self->Generation != Expected)
+          return;
+        if (Id.ok())
+          Self->rewriteKey(*Id, SentAt);
+        else
+          Self->runLater(ReclaimRetryDelay, &Impl::reclaim);
+      });
+}
+
+void LeaderRole::Impl::rewriteKey(int64_t NewLease, absl::Duration SentAt) {
+  std::string Key(RecordKeys::Leader);
+  std::string TermKey(RecordKeys::Term);
+  StoreTransaction Claim;
+  Claim.Conditions = {{Key, 0}, {TermKey, this->KeyRevision}};
+  Claim.Puts = {{Key, this->holderValue(NewLease), NewLease},
+                {TermKey, this->Options.Host.str(), 0}};
+  this->ClaimLeases.emplace(NewLease, SentAt);
+  std::weak_ptr<Impl> Weak = this->weak_from_this();
+  this->Options.Store.commit(
+      std::move(Claim), [Weak, Expected = this->Generation, NewLease,
+                         SentAt](absl::StatusOr<StoreCommit> Result) {
+        std::shared_ptr<Impl> Self = Weak.lock();
+        if (Self && Self->Generation == Expected)
+          Self->rewriteAnswered(Result, NewLease, SentAt);
+      });
+}
+
+void LeaderRole::Impl::rewriteAnswered(
+    const absl::StatusOr<StoreCommit> &Result, int64_t NewLease,
+    absl::Duration SentAt) {
+  if (!Result.ok())
+    return this->runLater(ReclaimRetryDelay, &Impl::reclaim);
+  if (Result->IsApplied)
+    return this->keepRole(Result->Revision, NewLease, SentAt);
+  const StoreItem *Holder = nullptr;
+  int64_t TermRevision = 0;
+  for (const StoreItem &Item : Result->Found) {
+    if (Item.Key == RecordKeys::Leader)
+      Holder = &Item;
+    else if (Item.Key == RecordKeys::Term)
+      TermRevision = Item.Revision;
+  }
+  // An earlier attempt may have been applied without an answer. Its claim must
+  // be the latest one.
+  for (const auto &[Known, RequestedAt] : this->ClaimLeases)
+    if (Holder && Holder->Value == this->holderValue(Known) &&
+        Holder->Revision == TermRevision)
+      return this->keepRole(Holder->Revision, Known, RequestedAt);
+  this->loseRole("another host has claimed it");
+}
+
+/// Goes on as leader under a key that this host has written again.
+void LeaderRole::Impl::keepRole(int64_t Revision, int64_t NewLease,
+                                absl::Duration SentAt) {
+  ++this->Generation;
+  bool IsRewritten = Revision != this->KeyRevision;
+  this->Lease = NewLease;
+  this->KeyRevision = Revision;
+  this->IsLapsed = false;
+  this->ConfirmedAt = std::max(this->ConfirmedAt, SentAt);
+  this->Options.Events.info("role", "this host is still the leader",
+                            {{"key_revision", Revision},
+                             {"lease", NewLease},
+                             {"rewritten", IsRewritten}});
+  this->runLater(absl::ZeroDuration(), &Impl::renewLease);
+  if (IsRewritten)
+    this->Options.Listener->roleReclaimed(Revision);
+}
+
 void LeaderRole::Impl::renewLease() {
   if (this->sinceConfirmed() >
       this->Options.TimeToLive + this->Options.MaxUnconfirmed)
@@ -209,7 +362,7 @@
     return;
   }
   if (errorKindOf(Result) == ErrorKind::NotFound)
-    return this->loseRole("its lease has ended");
+    return this->beginReclaim();
   this->Options.Events.warning(
       "role", "lease renewal failed",
       {{"error", Result}, {"since_confirmed", this->sinceConfirmed()}});
@@ -221,6 +374,8 @@
       "role", "this host is no longer the leader",
       {{"reason", Reason}, {"since_confirmed", this->sinceConfirmed()}});
   this->Lease = 0;
+  this->IsLapsed = false;
+  this->ClaimLeases.clear();
   this->ConfirmedAt = -absl::InfiniteDuration();
   this->Options.Listener->roleLost();
   this->readHolder();
@@ -251,6 +406,11 @@
   return *this;
 }
 
+LeaderRole::Builder &LeaderRole::Builder::returnDelay(absl::Duration Value) {
+  this->ReturnDelay = Value;
+  return *this;
+}
+
 std::unique_ptr<LeaderRole> LeaderRole::Builder::build() {
   assert(this->Listener && !this->Host.empty());
   return std::unique_ptr<LeaderRole>(
@@ -272,7 +432,20 @@
 
 bool LeaderRole::isConfirmed() const {
   const Impl &I = *this->Implementation;
-  return this->isLeader() && I.sinceConfirmed() < I.Options.TimeToLive;
+  return this->isLeader() && !I.IsLapsed &&
+         I.sinceConfirmed() < I.Options.TimeToLive;
+}
+
+absl::Time
+LeaderRole::startableJobsKnownBefore(absl::Duration LeaseTime) const {
+  if (this->isConfirmed())
+    return absl::InfiniteFuture();
+  const Impl &I = *this->Implementation;
+  if (!this->isLeader() || I.IsLapsed ||
+      this->maxWorkerLease(LeaseTime) < MinLeaseForStart)
+    return absl::InfinitePast();
+  // If the machine was suspended meanwhile, this is too early, never too late.
+  return I.Options.Exec.now() - I.sinceConfirmed();
 }
 
 absl::Duration LeaderRole::maxWorkerLease(absl::Duration LeaseTime) const {
@@ -283,6 +456,11 @@
                   I.Options.TimeToLive + LeaseTime - I.sinceConfirmed());
 }
 
+void LeaderRole::verify() {
+  if (this->isLeader() && !this->Implementation->IsLapsed)
+    this->Implementation->beginReclaim();
+}
+
 void LeaderRole::stepDown() {
   if (this->isLeader())
     this->Implementation->loseRole("a worker knows a later leader");
--- a/libs/control/src/LeaderTask.cpp
+++ b/libs/control/src/LeaderTask.cpp
@@ -46,6 +46,11 @@
   this->Current->begin();
 }
 
+void LeaderTask::roleReclaimed(int64_t KeyRevision) {
+  if (this->Current)
+    this->Current->leaderKeyRewritten(KeyRevision);
+}
+
 void LeaderTask::roleLost() {
   std::shared_ptr<Term> Ended = std::exchange(this->Current, nullptr);
   if (!Ended)
--- a/libs/control/src/LeaderTaskImpl.cpp
+++ b/libs/control/src/LeaderTaskImpl.cpp
@@ -194,8 +194,13 @@
 }
 
 bool LeaderTask::Term::mayStart(const StartOrder &Order) const {
-  return this->Links.Role.isConfirmed() &&
-         this->JobScheduler.isStartPending(Order);
+  return this->JobScheduler.isStartPending(Order) &&
+         this->JobScheduler.isKnownSince(Order.Task.Job,
+                                         this->startableJobsKnownBefore());
+}
+
+absl::Time LeaderTask::Term::startableJobsKnownBefore() const {
+  return this->Links.Role.startableJobsKnownBefore(this->Options.WorkerLease);
 }
 
 bool LeaderTask::Term::hasRuns(const WorkerId &Worker) const {
@@ -224,8 +229,17 @@
     });
 }
 
-void LeaderTask::Term::superseded() {
-  this->fenced();
+void LeaderTask::Term::leaderKeyMissing() {
+  this->Links.Exec.post([Weak = this->weak_from_this()] {
+    std::shared_ptr<Term> Self = Weak.lock();
+    if (Self && !Self->IsEnded)
+      Self->Links.Role.verify();
+  });
+}
+
+void LeaderTask::Term::leaderKeyRewritten(int64_t Revision) {
+  this->Writer->setLeaderKeyRevision(Revision);
+  this->requestPlan();
 }
 
 RunEndCursors LeaderTask::Term::processedEnds() const {
@@ -326,10 +340,12 @@
 }
 
 void LeaderTask::Term::plan() {
-  // While the role is unconfirmed, another leader may start the same tasks.
-  if (!this->Links.Role.isConfirmed())
+  // While the role is unconfirmed, another leader may start the tasks of jobs
+  // that this one has learned of since.
+  absl::Time KnownBefore = this->startableJobsKnownBefore();
+  if (KnownBefore == absl::InfinitePast())
     return;
-  Orders Round = this->JobScheduler.plan(this->now());
+  Orders Round = this->JobScheduler.plan(this->now(), KnownBefore);
   for (const StopOrder &Order : Round.Stops) {
     auto Found = this->Drivers.find(Order.Worker);
     if (Found != this->Drivers.end())
--- a/libs/control/src/LeaderTaskImpl.h
+++ b/libs/control/src/LeaderTaskImpl.h
@@ -38,6 +38,7 @@
   void begin();
   void end();
   void configurationChanged(const QueueTable &Newer);
+  void leaderKeyRewritten(int64_t Revision);
   bool isServing() const { return this->IsServing; }
   size_t jobCount() const { return this->JobScheduler.jobCount(); }
   size_t workerCount() const { return this->Drivers.size(); }
@@ -62,7 +63,7 @@
   // ProgressWriter::Owner
   RunEndCursors processedEnds() const override;
   void endsRecorded(const RunEndCursors &Ends) override;
-  void superseded() override;
+  void leaderKeyMissing() override;
   void progressWritten(const ProgressChange &Change) override;
 
 private:
@@ -87,6 +88,7 @@
   void publishWaiting();
   void removeExpiredJobs();
   void requestPlan();
+  absl::Time startableJobsKnownBefore() const;
   void plan();
   absl::Time now() const { return this->Links.Exec.now(); }
 
--- a/libs/control/src/ProgressWriter.cpp
+++ b/libs/control/src/ProgressWriter.cpp
@@ -71,7 +71,7 @@
   this->IsWriteRequested = false;
   StoreTransaction Transaction;
   Transaction.Conditions.push_back(
-      {std::string(RecordKeys::Leader), this->Fence});
+      {std::string(RecordKeys::Leader), this->LeaderKeyRevision});
   Batch Sent;
   while (!this->ExtraPuts.empty() && Sent.Puts.size() < MaxExtraPuts) {
     ExtraPut &Next = this->ExtraPuts.front();
@@ -102,29 +102,34 @@
   }
   this->IsWriting = true;
   this->Store.commit(std::move(Transaction),
-                     [Weak = this->weak_from_this(), Sent = std::move(Sent)](
+                     [Weak = this->weak_from_this(), Sent = std::move(Sent),
+                      SentUnder = this->LeaderKeyRevision](
                          absl::StatusOr<StoreCommit> Result) mutable {
                        std::shared_ptr<ProgressWriter> Self = Weak.lock();
                        if (!Self || Self->IsClosed)
                          return;
                        Self->IsWriting = false;
-                       Self->commitAnswered(Result, std::move(Sent));
+                       Self->commitAnswered(Result, SentUnder, std::move(Sent));
                      });
 }
 
+/// \param SentUnder revision of the leader's key that the transaction named.
 void ProgressWriter::commitAnswered(const absl::StatusOr<StoreCommit> &Result,
-                                    Batch Sent) {
+                                    int64_t SentUnder, Batch Sent) {
   if (Result.ok() && Result->IsApplied)
     return this->commitSucceeded(Result->Revision, Sent);
   absl::Duration Delay = absl::ZeroDuration();
   if (Result.ok()) {
     bool IsLeader = false;
     for (const StoreItem &Item : Result->Found)
-      IsLeader |=
-          Item.Key == RecordKeys::Leader && Item.Revision == this->Fence;
-    if (!IsLeader)
-      return this->OwnerRef.superseded();
-    this->adoptRevisions(Result->Found, Sent);
+      IsLeader |= Item.Key == RecordKeys::Leader && Item.Revision == SentUnder;
+    if (IsLeader) {
+      this->adoptRevisions(Result->Found, Sent);
+    } else {
+      if (SentUnder == this->LeaderKeyRevision)
+        this->OwnerRef.leaderKeyMissing();
+      Delay = RetryDelay;
+    }
   } else {
     this->Events.warning("leader", "progress records could not be written",
                          {{"records", Sent.Changes.size()},
--- a/libs/control/src/ProgressWriter.h
+++ b/libs/control/src/ProgressWriter.h
@@ -41,17 +41,25 @@
     virtual RunEndCursors processedEnds() const = 0;
     /// Ends of runs up to \p Ends are recorded in the store.
     virtual void endsRecorded(const RunEndCursors &Ends) = 0;
-    /// This host no longer holds the leader's key.
-    virtual void superseded() = 0;
+    /// The store has another leader's key than the one that this host wrote, or
+    /// none. The write is retried.
+    virtual void leaderKeyMissing() = 0;
     /// The change is in the store.
     virtual void progressWritten(const ProgressChange &Change) = 0;
   };
 
+  /// \param LeaderKeyRevision revision of the leader's key that this host
+  ///        wrote; every write is conditioned on it.
   ProgressWriter(Executor &Exec, CoordinationStore &Store,
-                 Scheduler &JobScheduler, Owner &OwnerRef, int64_t Fence,
-                 Log &Events)
+                 Scheduler &JobScheduler, Owner &OwnerRef,
+                 int64_t LeaderKeyRevision, Log &Events)
       : Exec(Exec), Store(Store), JobScheduler(JobScheduler),
-        OwnerRef(OwnerRef), Fence(Fence), Events(Events) {}
+        OwnerRef(OwnerRef), LeaderKeyRevision(LeaderKeyRevision),
+        Events(Events) {}
+
+  void setLeaderKeyRevision(int64_t Revision) {
+    this->LeaderKeyRevision = Revision;
+  }
 
   /// Raises the revision that the store's record is known to have.
   void noteRevision(const std::string &Key, int64_t Revision);
@@ -83,7 +91,8 @@
   };
   void addPut(StoreTransaction &Transaction, const std::string &Key,
               std::string Value) const;
-  void commitAnswered(const absl::StatusOr<StoreCommit> &Result, Batch Sent);
+  void commitAnswered(const absl::StatusOr<StoreCommit> &Result,
+                      int64_t SentUnder, Batch Sent);
   void requeue(Batch Sent);
   void adoptRevisions(const std::vector<StoreItem> &Found, const Batch &Sent);
   void commitSucceeded(int64_t Revision, const Batch &Sent);
@@ -93,8 +102,7 @@
   CoordinationStore &Store;
   Scheduler &JobScheduler;
   Owner &OwnerRef;
-  /// Fencing token of this leader's term.
-  int64_t Fence;
+  int64_t LeaderKeyRevision;
   Log &Events;
   /// Known revision in the store of each record, by key.
   absl::flat_hash_map<std::string, int64_t> Revisions;
--- a/libs/control/src/WorkerDriver.cpp
+++ b/libs/control/src/WorkerDriver.cpp
@@ -21,6 +21,10 @@
 /// Maximum time after which a worker may still execute an unanswered call: 12 s
 /// by the platform's description of late orders, plus the duration of a call.
 static constexpr absl::Duration LongestOrderDelay = absl::Seconds(13);
+/// Time from a report to the next renewal while ends wait to be recorded, which
+/// is long only in an outage of the store.
+static constexpr absl::Duration UnrecordedPollInterval =
+    absl::Milliseconds(700);
 /// Delay before a failed renewal is retried.
 static constexpr absl::Duration RetryDelay = absl::Milliseconds(300);
 
@@ -154,8 +158,11 @@
 }
 
 bool WorkerDriver::needsRenewal() const {
+  // The worker answers at once while it lists ends that cannot be acknowledged
+  // yet, so it is polled only now and then, for its lease and further ends.
   if (this->ProcessedEnd > this->RecordedEnd)
-    return false;
+    return this->OwnerRef.hasRuns(this->Registration.Id) &&
+           this->Exec.now() >= this->ReportedAt + UnrecordedPollInterval;
   return !this->HasReported || this->RecordedEnd > this->AcknowledgedEnd ||
          this->OwnerRef.hasRuns(this->Registration.Id);
 }
@@ -175,6 +182,7 @@
   this->IsRenewing = true;
   this->IsAcknowledging = HasEndsToAcknowledge;
   bool MayWait = !HasEndsToAcknowledge && this->HasReported &&
+                 this->ProcessedEnd <= this->RecordedEnd &&
                  this->OwnerRef.hasRuns(this->Registration.Id);
   WorkerGateway::Renewal Request;
   Request.Fence = this->OwnerRef.fence();
@@ -234,6 +242,7 @@
   this->noteReportedClock(Report.Clock);
   this->HasReported = true;
   this->HasEverReported = true;
+  this->ReportedAt = this->Exec.now();
   this->OwnerRef.reported(this->Registration.Id, Report, AskedAt);
 }
 
--- a/libs/control/tests/LeaderFuzzTest.cpp
+++ b/libs/control/tests/LeaderFuzzTest.cpp
@@ -30,7 +30,11 @@
 /// checks the recorded runs against the invariants that hold in every case.
 class LeaderFuzz {
 public:
-  explicit LeaderFuzz(uint32_t Seed) : Random(Seed) {
+  /// \param WithCuts cuts single hosts off from the store, the leader above
+  /// all.
+  ///        Off for the seeds that were found without it.
+  explicit LeaderFuzz(uint32_t Seed, bool WithCuts = false)
+      : WithCuts(WithCuts), Random(Seed) {
     this->Cluster.addWorkers(6, {8000, 64000, 8});
     this->Cluster.Farm.Durations = [this](const TaskKey &) {
       return absl::Milliseconds(this->uniformInt(200, 4000));
@@ -131,6 +135,11 @@
     case 14:
       this->freezeRandomHost();
       break;
+    case 15:
+    case 16:
+      if (this->WithCuts)
+        return this->cutRandomHost();
+      break;
     default:
       break;
     }
@@ -184,6 +193,21 @@
                              absl::Milliseconds(this->uniformInt(100, 9000)));
   }
 
+  /// Cuts the leader off from the store in 70 % of the cases and any host in
+  /// the others, while work goes on, for less or more than all leases.
+  void cutRandomHost() {
+    SimulatedCluster::HostNode *Node = this->Cluster.leader();
+    if (!Node || this->chance(30))
+      Node = &this->randomHost();
+    Node->Store->setCut(true);
+    int Pieces = this->uniformInt(1, 8);
+    for (int I = 0; I < Pieces; ++I) {
+      this->submitRandomJob();
+      this->Cluster.runFor(absl::Milliseconds(this->uniformInt(100, 1500)));
+    }
+    Node->Store->setCut(false);
+  }
+
   void replaceHost() {
     auto It = this->Cluster.Hosts.begin();
     std::advance(It, this->uniformInt(
@@ -341,6 +365,7 @@
     }
   }
 
+  bool WithCuts;
   SimulatedCluster Cluster;
   std::mt19937 Random;
   uint64_t NextJob = 1;
@@ -349,8 +374,8 @@
 
 } // namespace
 
-static std::string violationsOf(uint32_t Seed) {
-  LeaderFuzz Fuzz(Seed);
+static std::string violationsOf(uint32_t Seed, bool WithCuts = false) {
+  LeaderFuzz Fuzz(Seed, WithCuts);
   Fuzz.run();
   return Fuzz.violations();
 }
@@ -382,3 +407,10 @@
   if (!Violations.empty())
     RC_FAIL(fmt::format("seed {}\n{}", Seed, Violations));
 }
+
+RC_GTEST_PROP(LeaderFuzzTest, InvariantsHoldWhileHostsAreCutOff,
+              (uint32_t Seed)) {
+  std::string Violations = violationsOf(Seed, /*WithCuts=*/true);
+  if (!Violations.empty())
+    RC_FAIL(fmt::format("seed {}\n{}", Seed, Violations));
+}
--- a/libs/control/tests/SimulatedCluster.cpp
+++ b/libs/control/tests/SimulatedCluster.cpp
@@ -85,6 +85,7 @@
       LeaderRole::Builder(*Node.Exec, *Node.Store, this->Clock, this->Events)
           .host(HostId(Name))
           .listener(*Node.Task)
+          .maxUnconfirmed(absl::Seconds(20))
           .build();
   Node.Task->setRole(*Node.Role);
   Node.Role->start();
--- a/libs/fleethost/src/FleetHost.cpp
+++ b/libs/fleethost/src/FleetHost.cpp
@@ -22,6 +22,13 @@
 /// leader role. The wait is divided by the host's share of a core.
 static constexpr absl::Duration BaseCandidateDelay = absl::Milliseconds(20);
 static constexpr double MinCpuShare = 0.05;
+/// Upper bound of a host's own part of that wait, by which hosts with equal
+/// shares differ.
+static constexpr absl::Duration CandidateSpread = absl::Milliseconds(60);
+/// How long a leader that the store does not confirm keeps its state, in the
+/// hope that no other host gains the role. It extends no lease for most of that
+/// time. Outages last for seconds.
+static constexpr absl::Duration MaxUnconfirmedRole = absl::Seconds(20);
 /// Time until the load balancer stops sending connections to a host that is
 /// not ready: it checks every second and stops after two failed checks.
 static constexpr absl::Duration BalancerDetectionTime =
@@ -39,6 +46,13 @@
   return Options;
 }
 
+static absl::Duration candidateDelay(const FleetHostOptions &Options) {
+  constexpr size_t Steps = 64;
+  size_t Step = std::hash<HostId>()(Options.Host) % Steps;
+  return BaseCandidateDelay / std::max(Options.CpuShare, MinCpuShare) +
+         CandidateSpread * static_cast<double>(Step) / Steps;
+}
+
 class FleetHost::Impl {
 public:
   Impl(const Ports &Adapters, FleetHostOptions Given, std::string Key,
@@ -56,9 +70,8 @@
                  .host(Options.Host)
                  .listener(this->Leader)
                  .timeToLive(LeaderTimeToLive)
-                 .maxUnconfirmed(Options.Leader.WorkerLease)
-                 .candidateDelay(BaseCandidateDelay /
-                                 std::max(Options.CpuShare, MinCpuShare))
+                 .maxUnconfirmed(MaxUnconfirmedRole)
+                 .candidateDelay(candidateDelay(Options))
                  .build()) {
     this->Leader.setRole(*this->Role);
   }
--- a/libs/storerelay/tests/RelayedStoreTest.cpp
+++ b/libs/storerelay/tests/RelayedStoreTest.cpp
@@ -21,6 +21,7 @@
   int Gained = 0;
   int Lost = 0;
   void roleGained(int64_t) override { ++this->Gained; }
+  void roleReclaimed(int64_t) override {}
   void roleLost() override { ++this->Lost; }
 };
 
