Send keep-alives before they are late, not at the next tick

Trace: the transport looks once a second, and a look 0.99 s after the last frame sent nothing, so the keep-alive that was due after 1 s left after 2 s, in the middle of the pause. It is now sent if it would be late at the next look.

--- a/libs/peer/src/TcpPeerTransportImpl.cpp
+++ b/libs/peer/src/TcpPeerTransportImpl.cpp
@@ -290,7 +290,8 @@
       C->LastReceived = Now;
     else if (Now - C->LastReceived > Limit)
       Silent.push_back(Number);
-    if (Now - C->LastSent >= KeepAliveAfter)
+    bool IsLateAtNextTick = Now - C->LastSent + TickInterval > KeepAliveAfter;
+    if (IsLateAtNextTick)
       (void)this->sendOn(*C, std::string());
   }
   for (Id Number : Silent)
--- a/libs/scheduler/include/scheduler/Scheduler.h
+++ b/libs/scheduler/include/scheduler/Scheduler.h
@@ -62,8 +62,6 @@
   /// it is unknown or in a final state.
   void cancelJob(const JobId &Id, absl::Time Now);
   bool hasJob(const JobId &Id) const;
-  /// True if the job was added before \p Time.
-  bool isKnownSince(const JobId &Id, absl::Time Time) const;
 
   /// Allows starts of the jobs that were added with MayHaveRuns, and stops
   /// gangs of which not all members were found. Call it once every worker that
@@ -104,8 +102,7 @@
   int64_t lastEndSequence(const WorkerId &Worker) const;
 
   /// Places the tasks that can be placed and returns the orders to send now.
-  /// \param KnownBefore only jobs that were added before this time are started.
-  Orders plan(absl::Time Now, absl::Time KnownBefore = absl::InfiniteFuture());
+  Orders plan(absl::Time Now);
   /// True if tasks wait for a due time, for resources or for an answer, so that
   /// plan() has to be called again.
   bool hasWaitingWork() const;
--- a/libs/scheduler/src/JobEntry.h
+++ b/libs/scheduler/src/JobEntry.h
@@ -35,8 +35,6 @@
   /// An earlier leader may have started tasks of it that no worker has
   /// reported yet.
   bool AwaitsReports = false;
-  /// When the scheduler learned of the job.
-  absl::Time AddedAt;
   /// The progress differs from the record in the store.
   bool IsDirty = false;
   /// The final state has been written to the store.
--- a/libs/scheduler/src/Scheduler.cpp
+++ b/libs/scheduler/src/Scheduler.cpp
@@ -26,7 +26,6 @@
     return;
   JobEntry &Entry = I.Jobs.add(std::move(Job), std::move(Progress), Now);
   Entry.AwaitsReports = MayHaveRuns && !I.IsRecovered;
-  Entry.AddedAt = Now;
   if (Entry.Job.Priority == 0)
     I.UrgentArrivals[Entry.Job.WorkerPool].add(
         static_cast<double>(Entry.Job.maxAcceleratorsPerStep()), Now);
@@ -47,11 +46,6 @@
   return this->Implementation->Jobs.find(Id) != nullptr;
 }
 
-bool Scheduler::isKnownSince(const JobId &Id, absl::Time Time) const {
-  const JobEntry *Entry = this->Implementation->Jobs.find(Id);
-  return Entry && Entry->AddedAt < Time;
-}
-
 void Scheduler::finishRecovery() {
   Impl &I = *this->Implementation;
   I.IsRecovered = true;
--- a/libs/scheduler/src/SchedulerImpl.h
+++ b/libs/scheduler/src/SchedulerImpl.h
@@ -38,13 +38,12 @@
 
   // SchedulerPlan.cpp: places tasks and returns orders.
   struct ReadyStep;
-  std::vector<ReadyStep> readySteps(absl::Time Now, absl::Time KnownBefore);
+  std::vector<ReadyStep> readySteps(absl::Time Now);
   bool leavesHeadroom(const PlacementRequest &Request, int Tasks) const;
   void placeStep(const ReadyStep &Ready, absl::Time Now);
   void reserve(const PlacementRequest &Request, const std::vector<int> &Indexes,
                const TentativePlacement &Placement);
-  void launchReservedGroups(absl::Time Now, absl::Time KnownBefore,
-                            Orders &Round);
+  void launchReservedGroups(absl::Time Now, Orders &Round);
   bool hasCapacityNow(const std::vector<RunRecord *> &Group) const;
   void launchGroup(const std::vector<RunRecord *> &Group, absl::Time Now,
                    Orders &Round);
--- a/libs/scheduler/src/SchedulerPlan.cpp
+++ b/libs/scheduler/src/SchedulerPlan.cpp
@@ -60,7 +60,7 @@
 }
 
 std::vector<Scheduler::Impl::ReadyStep>
-Scheduler::Impl::readySteps(absl::Time Now, absl::Time KnownBefore) {
+Scheduler::Impl::readySteps(absl::Time Now) {
   std::vector<ReadyStep> Ready;
   for (const auto &[Id, Entry] : this->Jobs.all()) {
     const BatchJob &Job = Entry->Job;
@@ -79,8 +79,7 @@
       if (Step.DoneTasks + Step.ActiveTasks >= Spec.TaskCount)
         continue;
       this->HasWaitingWork = true;
-      if (Step.ReadySince > Now || (Spec.IsGang && Step.ActiveTasks > 0) ||
-          Entry->AddedAt >= KnownBefore)
+      if (Step.ReadySince > Now || (Spec.IsGang && Step.ActiveTasks > 0))
         continue;
       absl::Time Begin = objectiveStart(Job, K);
       Ready.push_back({Entry.get(), K, S, IsGuaranteed,
@@ -236,9 +235,7 @@
       fmt::format("started: {}.{}", First.Task.Job.str(), First.Task.Step));
 }
 
-void Scheduler::Impl::launchReservedGroups(absl::Time Now,
-                                           absl::Time KnownBefore,
-                                           Orders &Round) {
+void Scheduler::Impl::launchReservedGroups(absl::Time Now, Orders &Round) {
   std::vector<ReservedGroup> Waiting;
   for (ReservedGroup &Group : this->Reserved) {
     std::vector<RunRecord *> Runs;
@@ -248,10 +245,8 @@
       if (!Run || Run->Run != Group.Run || Run->Phase != RunPhase::Reserved)
         continue;
       Runs.push_back(Run);
-      const JobEntry *Entry = this->Jobs.find(Task.Job);
-      CanStart &= Run->Worker->IsUsable &&
-                  !Run->Worker->Registration.IsDraining && Entry &&
-                  Entry->AddedAt < KnownBefore;
+      CanStart &=
+          Run->Worker->IsUsable && !Run->Worker->Registration.IsDraining;
     }
     if (Runs.empty())
       continue;
@@ -283,14 +278,14 @@
   }
 }
 
-Orders Scheduler::plan(absl::Time Now, absl::Time KnownBefore) {
+Orders Scheduler::plan(absl::Time Now) {
   Impl &I = *this->Implementation;
   Orders Round;
   I.HasWaitingWork = false;
-  I.launchReservedGroups(Now, KnownBefore, Round);
-  for (const Impl::ReadyStep &Ready : I.readySteps(Now, KnownBefore))
+  I.launchReservedGroups(Now, Round);
+  for (const Impl::ReadyStep &Ready : I.readySteps(Now))
     I.placeStep(Ready, Now);
-  I.launchReservedGroups(Now, KnownBefore, Round);
+  I.launchReservedGroups(Now, Round);
   I.collectStops(Now, Round);
   I.HasWaitingWork |= !I.Reserved.empty() || !Round.Stops.empty();
   return Round;
