Take back starts by a leader whose role is not confirmed

Starts of tasks that have never run are not safe either: a worker that restarts forgets its fencing token and would accept one from the old leader after the successor has started the task elsewhere.

So an unconfirmed leader starts nothing, as before.

--- a/libs/control/include/control/LeaderRole.h
+++ b/libs/control/include/control/LeaderRole.h
@@ -88,16 +88,6 @@
   /// Whether the lease is confirmed, so that no other host can hold the role
   /// now and this host may start runs.
   bool isConfirmed() const;
-  /// Jobs that this host has known since before this time may be started:
-  /// InfiniteFuture while the role is confirmed, InfinitePast if none may be.
-  ///
-  /// While the role is unconfirmed, another host may have gained it. It starts
-  /// none of the jobs that it finds when it loads the records before it has
-  /// read the runs of all workers, or their leases have expired, and every
-  /// start of this host ends with such a lease. So this host may go on to start
-  /// the jobs that it has known since before its last confirmation, as a
-  /// successor finds all of them.
-  absl::Time startableJobsKnownBefore(absl::Duration LeaseTime) const;
   /// Longest time from now for which workers' leases may be extended. A
   /// successor waits at least until then before it treats the runs of an
   /// unreachable worker as ended. Zero or less if no lease may be
--- a/libs/control/src/LeaderRole.cpp
+++ b/libs/control/src/LeaderRole.cpp
@@ -22,9 +22,6 @@
 /// The same for a leader that writes its expired key again, which other hosts
 /// await for Builder::returnDelay().
 static constexpr absl::Duration ReclaimRetryDelay = absl::Milliseconds(100);
-/// Shortest lease with which an unconfirmed leader starts a task. The task is
-/// lost if the store does not return before the lease ends.
-static constexpr absl::Duration MinLeaseForStart = absl::Seconds(1);
 /// Time after a failed call to the store for which a vacant role counts as the
 /// result of an outage.
 static constexpr absl::Duration OutageMemory = absl::Seconds(3);
@@ -436,18 +433,6 @@
          I.sinceConfirmed() < I.Options.TimeToLive;
 }
 
-absl::Time
-LeaderRole::startableJobsKnownBefore(absl::Duration LeaseTime) const {
-  if (this->isConfirmed())
-    return absl::InfiniteFuture();
-  const Impl &I = *this->Implementation;
-  if (!this->isLeader() || I.IsLapsed ||
-      this->maxWorkerLease(LeaseTime) < MinLeaseForStart)
-    return absl::InfinitePast();
-  // If the machine was suspended meanwhile, this is too early, never too late.
-  return I.Options.Exec.now() - I.sinceConfirmed();
-}
-
 absl::Duration LeaderRole::maxWorkerLease(absl::Duration LeaseTime) const {
   const Impl &I = *this->Implementation;
   if (!this->isLeader())
--- a/libs/control/src/LeaderTaskImpl.cpp
+++ b/libs/control/src/LeaderTaskImpl.cpp
@@ -194,13 +194,8 @@
 }
 
 bool LeaderTask::Term::mayStart(const StartOrder &Order) const {
-  return this->JobScheduler.isStartPending(Order) &&
-         this->JobScheduler.isKnownSince(Order.Task.Job,
-                                         this->startableJobsKnownBefore());
-}
-
-absl::Time LeaderTask::Term::startableJobsKnownBefore() const {
-  return this->Links.Role.startableJobsKnownBefore(this->Options.WorkerLease);
+  return this->Links.Role.isConfirmed() &&
+         this->JobScheduler.isStartPending(Order);
 }
 
 bool LeaderTask::Term::hasRuns(const WorkerId &Worker) const {
@@ -340,12 +335,10 @@
 }
 
 void LeaderTask::Term::plan() {
-  // While the role is unconfirmed, another leader may start the tasks of jobs
-  // that this one has learned of since.
-  absl::Time KnownBefore = this->startableJobsKnownBefore();
-  if (KnownBefore == absl::InfinitePast())
+  // While the role is unconfirmed, another leader may start the same tasks.
+  if (!this->Links.Role.isConfirmed())
     return;
-  Orders Round = this->JobScheduler.plan(this->now(), KnownBefore);
+  Orders Round = this->JobScheduler.plan(this->now());
   for (const StopOrder &Order : Round.Stops) {
     auto Found = this->Drivers.find(Order.Worker);
     if (Found != this->Drivers.end())
--- a/libs/control/src/LeaderTaskImpl.h
+++ b/libs/control/src/LeaderTaskImpl.h
@@ -88,7 +88,6 @@
   void publishWaiting();
   void removeExpiredJobs();
   void requestPlan();
-  absl::Time startableJobsKnownBefore() const;
   void plan();
   absl::Time now() const { return this->Links.Exec.now(); }
 
--- a/libs/control/src/WorkerDriver.h
+++ b/libs/control/src/WorkerDriver.h
@@ -34,8 +34,8 @@
     /// Longest time from now for which a lease may be granted; zero or less if
     /// none may be granted.
     virtual absl::Duration maxWorkerLease() const = 0;
-    /// Whether the order may be sent: the scheduler still wants it, and no
-    /// other leader can start the same runs.
+    /// Whether the order may be sent: the scheduler still wants it, and the
+    /// role is confirmed, so that no other leader starts the same runs.
     virtual bool mayStart(const StartOrder &Order) const = 0;
     virtual int64_t fence() const = 0;
     virtual bool hasRuns(const WorkerId &Worker) const = 0;
--- a/libs/control/tests/LeaderFuzzTest.cpp
+++ b/libs/control/tests/LeaderFuzzTest.cpp
@@ -193,19 +193,25 @@
                              absl::Milliseconds(this->uniformInt(100, 9000)));
   }
 
-  /// Cuts the leader off from the store in 70 % of the cases and any host in
-  /// the others, while work goes on, for less or more than all leases.
+  /// Cuts the leader off from the store, and often from some workers, in 70 %
+  /// of the cases and any host in the others, while work goes on, for less or
+  /// more than all leases.
   void cutRandomHost() {
     SimulatedCluster::HostNode *Node = this->Cluster.leader();
     if (!Node || this->chance(30))
       Node = &this->randomHost();
     Node->Store->setCut(true);
+    std::set<WorkerId> Unreachable;
+    for (int I = this->uniformInt(0, 5); I > 0; --I)
+      Unreachable.insert(this->randomWorker());
+    Node->Workers->setCut(Unreachable);
     int Pieces = this->uniformInt(1, 8);
     for (int I = 0; I < Pieces; ++I) {
       this->submitRandomJob();
       this->Cluster.runFor(absl::Milliseconds(this->uniformInt(100, 1500)));
     }
     Node->Store->setCut(false);
+    Node->Workers->setCut({});
   }
 
   void replaceHost() {
