Make reads again directly when the store serves the host again

Trace: the store drops its history and cuts both watches of a host at 8.2 s, which counts as two unanswered calls, so the watch of the configuration is made again through a peer; that peer is cut off from the other hosts. The store serves the host again 8 ms later, but the relayed watch fails only at 11.8 s, and the new version is in force 4.9 s after it was acknowledged.

Reads that wait for a peer are made again directly as soon as the store serves this host. Writes are not, as they may have taken effect.

RelayedStoreTest.ReadThroughASilentPeerIsMadeAgainDirectly fails without the change.

--- a/libs/storerelay/src/RelayedStore.cpp
+++ b/libs/storerelay/src/RelayedStore.cpp
@@ -9,6 +9,7 @@
 #include "storerelay/StoreRouter.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace vanillayard {
@@ -36,13 +37,20 @@
       : Exec(Exec), Direct(Direct), Peers(Peers), Events(Events) {}
 
   template <typename Result>
-  void call(Operation<Result> Invoke, std::function<void(Result)> Done) {
+  void read(Operation<Result> Invoke, std::function<void(Result)> Done) {
+    this->call(std::move(Invoke), std::move(Done), /*IsRead=*/true);
+  }
+
+  /// \param IsRead the call changes nothing, so it may be made again.
+  template <typename Result>
+  void call(Operation<Result> Invoke, std::function<void(Result)> Done,
+            bool IsRead = false) {
     StoreRouter::Route Selected = this->route();
     if (Selected == StoreRouter::Route::Direct)
-      return this->callDirectly(std::move(Invoke), std::move(Done));
+      return this->callDirectly(std::move(Invoke), std::move(Done), IsRead);
     this->probeDirectStore();
     if (Selected == StoreRouter::Route::Peer)
-      return this->callPeer(std::move(Invoke), std::move(Done), 0);
+      return this->relay(std::move(Invoke), std::move(Done), IsRead);
     this->Exec.post([Done = std::move(Done)] {
       Done(makeError(ErrorKind::PlatformUnavailable,
                      "the store answers neither this host nor its peers"));
@@ -55,20 +63,47 @@
   }
 
   template <typename Result>
-  void callDirectly(Operation<Result> Invoke,
-                    std::function<void(Result)> Done) {
-    Invoke(this->Direct, [Weak = this->weak_from_this(), Invoke,
-                          Done = std::move(Done)](Result Answer) mutable {
+  void callDirectly(Operation<Result> Invoke, std::function<void(Result)> Done,
+                    bool IsRead) {
+    Invoke(this->Direct,
+           [Weak = this->weak_from_this(), Invoke, Done = std::move(Done),
+            IsRead](Result Answer) mutable {
+             std::shared_ptr<Impl> Self = Weak.lock();
+             if (!Self)
+               return;
+             StoreRouter::Outcome Kind = outcomeOf(resultStatus(Answer));
+             Self->handleDirectOutcome(Kind);
+             if (Kind == StoreRouter::Outcome::Refused &&
+                 Self->route() == StoreRouter::Route::Peer)
+               return Self->relay(std::move(Invoke), std::move(Done), IsRead);
+             Done(std::move(Answer));
+           });
+  }
+
+  /// Makes a call through peers. A read is made again directly if the store
+  /// serves this host again before a peer has answered, because a watch through
+  /// a peer that cannot be reached takes seconds to fail.
+  template <typename Result>
+  void relay(Operation<Result> Invoke, std::function<void(Result)> Done,
+             bool IsRead) {
+    if (!IsRead)
+      return this->callPeer(std::move(Invoke), std::move(Done), 0);
+    uint64_t Id = this->NextRelayedRead++;
+    this->RelayedReads[Id] = [this, Invoke, Done] {
+      this->callDirectly(Invoke, Done, /*IsRead=*/true);
+    };
+    std::function<void(Result)> First = [Weak = this->weak_from_this(), Id,
+                                         Done](Result Answer) {
       std::shared_ptr<Impl> Self = Weak.lock();
-      if (!Self)
-        return;
-      StoreRouter::Outcome Kind = outcomeOf(resultStatus(Answer));
-      Self->handleDirectOutcome(Kind);
-      if (Kind == StoreRouter::Outcome::Refused &&
-          Self->route() == StoreRouter::Route::Peer)
-        return Self->callPeer(std::move(Invoke), std::move(Done), 0);
-      Done(std::move(Answer));
-    });
+      if (Self && Self->RelayedReads.erase(Id) > 0)
+        Done(std::move(Answer));
+    };
+    this->callPeer(std::move(Invoke), std::move(First), 0);
+  }
+
+  void repeatRelayedReads() {
+    for (auto &[Id, Repeat] : std::exchange(this->RelayedReads, {}))
+      Repeat();
   }
 
   /// \param Asked number of peers that have refused this call.
@@ -118,14 +153,16 @@
     this->Router.recordDirectOutcome(Kind);
     if (this->Router.isDirectDown() == WasDown)
       return;
-    if (WasDown)
+    if (WasDown) {
       this->Events.info("store", "the store serves this host again", {});
-    else
+      this->repeatRelayedReads();
+    } else {
       this->Events.warning(
           "store", "the store does not serve this host",
           {{"answer",
             Kind == StoreRouter::Outcome::Refused ? "refused" : "missing"},
            {"peers", this->Peers.count()}});
+    }
   }
 
   Executor &Exec;
@@ -133,6 +170,9 @@
   StorePeers &Peers;
   Log &Events;
   StoreRouter Router;
+  uint64_t NextRelayedRead = 1;
+  /// Reads that peers have not answered yet, with what makes them again.
+  std::map<uint64_t, std::function<void()>> RelayedReads;
 };
 
 RelayedStore::RelayedStore(Executor &Exec, CoordinationStore &Direct,
@@ -142,7 +182,7 @@
 RelayedStore::~RelayedStore() = default;
 
 void RelayedStore::get(const std::string &Key, GetCallback Done) {
-  this->Implementation->call<absl::StatusOr<std::optional<StoreItem>>>(
+  this->Implementation->read<absl::StatusOr<std::optional<StoreItem>>>(
       [Key](CoordinationStore &Store, GetCallback Callback) {
         Store.get(Key, std::move(Callback));
       },
@@ -150,7 +190,7 @@
 }
 
 void RelayedStore::list(const std::string &Prefix, ListCallback Done) {
-  this->Implementation->call<absl::StatusOr<StoreListing>>(
+  this->Implementation->read<absl::StatusOr<StoreListing>>(
       [Prefix](CoordinationStore &Store, ListCallback Callback) {
         Store.list(Prefix, std::move(Callback));
       },
@@ -159,7 +199,7 @@
 
 void RelayedStore::awaitChanges(const std::string &Prefix, int64_t After,
                                 absl::Duration Wait, ChangesCallback Done) {
-  this->Implementation->call<absl::StatusOr<StoreChanges>>(
+  this->Implementation->read<absl::StatusOr<StoreChanges>>(
       [Prefix, After, Wait](CoordinationStore &Store,
                             ChangesCallback Callback) {
         Store.awaitChanges(Prefix, After, Wait, std::move(Callback));
--- a/libs/storerelay/tests/FaultInjectingStore.h
+++ b/libs/storerelay/tests/FaultInjectingStore.h
@@ -18,6 +18,8 @@
 
   /// While this is set, every call fails with it.
   std::optional<ErrorKind> Failure;
+  /// While this is set, every call fails after SilentTime, with OutcomeUnknown.
+  bool IsSilent = false;
   /// Number of calls, including failed ones.
   int Calls = 0;
 
@@ -52,9 +54,17 @@
   }
 
 private:
+  static constexpr absl::Duration SilentTime = absl::Seconds(4);
+
   /// Counts the call. Fails it and returns true if a failure is set.
   template <typename Callback> bool injectFailure(const Callback &Done) {
     ++this->Calls;
+    if (this->IsSilent) {
+      this->Exec.runAfter(SilentTime, [Done] {
+        Done(makeError(ErrorKind::OutcomeUnknown, "the connection is silent"));
+      });
+      return true;
+    }
     if (!this->Failure)
       return false;
     this->Exec.post([Done, Kind = *this->Failure] {
--- a/libs/storerelay/tests/RelayedStoreTest.cpp
+++ b/libs/storerelay/tests/RelayedStoreTest.cpp
@@ -106,6 +106,33 @@
   EXPECT_LE(Demotions, 3);
 }
 
+// Guards against a configuration that comes into force seconds late: both
+// watches of a host are cut at once, so they are made again through a peer,
+// which cannot be reached, while the store serves the host all the time.
+TEST_F(RelayedStoreTest, ReadThroughASilentPeerIsMadeAgainDirectly) {
+  std::shared_ptr<FaultInjectingStore> Peer = this->addPeer();
+  Peer->IsSilent = true;
+  this->Direct.Failure = ErrorKind::OutcomeUnknown;
+  for (int I = 0; I < 2; ++I)
+    this->Store.get("k", [](absl::StatusOr<std::optional<StoreItem>>) {});
+  this->Exec.advance(absl::Milliseconds(1));
+  this->Direct.Failure.reset();
+  int Answers = 0;
+  this->Store.awaitChanges("k", 0, absl::Seconds(2),
+                           [&](absl::StatusOr<StoreChanges> Changes) {
+                             EXPECT_TRUE(Changes.ok());
+                             ++Answers;
+                           });
+  this->Exec.advance(absl::Milliseconds(100));
+  EXPECT_GT(Peer->Calls, 0);
+  EXPECT_EQ(Answers, 0);
+  this->Platform.put("k", "new");
+  this->Exec.advance(absl::Milliseconds(100));
+  EXPECT_EQ(Answers, 1);
+  this->Exec.advance(absl::Seconds(10));
+  EXPECT_EQ(Answers, 1);
+}
+
 // Guards against applying a write twice: an unanswered write may still take
 // effect.
 TEST_F(RelayedStoreTest, CallWithoutAnswerIsNotRepeated) {
