--- a/libs/control/tests/LeaderTaskTest.cpp
+++ b/libs/control/tests/LeaderTaskTest.cpp
@@ -304,20 +304,28 @@
 // leases for expired, while the successor has taken these workers over.
 TEST_F(LeaderTaskTest, CutOffLeaderStartsNothingAgain) {
   FakeWorkerFarm &Farm = this->Cluster.Farm;
-  Farm.Durations = [](const TaskKey &) { return absl::Seconds(2); };
+  Farm.Durations = [](const TaskKey &) { return absl::Seconds(5); };
   this->Cluster.submit(this->standby(), Id, this->Cluster.job(2, 8));
   this->Cluster.runFor(absl::Seconds(1));
   ASSERT_EQ(Farm.StartedRuns.size(), 2U);
   std::string Leader = this->Cluster.leaderName();
-  std::set<WorkerId> Unreachable;
-  for (const FakeWorkerFarm::StartedRun &Run : Farm.StartedRuns)
-    Unreachable.insert(Run.Worker);
+  std::string Successor = Leader == "a" ? "b" : "a";
+  std::set<WorkerId> Used;
+  std::set<WorkerId> Free = {WorkerId("w0"), WorkerId("w1"), WorkerId("w2"),
+                             WorkerId("w3")};
+  for (const FakeWorkerFarm::StartedRun &Run : Farm.StartedRuns) {
+    Used.insert(Run.Worker);
+    Free.erase(Run.Worker);
+  }
+  // Each of the two leaders reaches only the workers on its side of the cut.
   this->host(Leader).Store->setCut(true);
-  this->host(Leader).Workers->setCut(Unreachable);
+  this->host(Leader).Workers->setCut(Used);
+  this->host(Successor).Workers->setCut(Free);
   this->Cluster.runFor(absl::Seconds(12));
   EXPECT_EQ(this->repeatedStarts(), 0U);
   this->host(Leader).Store->setCut(false);
   this->host(Leader).Workers->setCut({});
+  this->host(Successor).Workers->setCut({});
   this->Cluster.runFor(absl::Seconds(12));
   EXPECT_EQ(this->repeatedStarts(), 0U);
   EXPECT_EQ(*this->Cluster.state(this->host("a"), Id), BatchState::Done);
