--- a/libs/control/src/LeaderRole.cpp
+++ b/libs/control/src/LeaderRole.cpp
@@ -11,6 +11,7 @@
 #include <cassert>
 #include <map>
 #include <utility>
+#include <vector>
 
 namespace vanillayard {
 
@@ -35,11 +36,23 @@
 
   enum class Phase { Idle, Campaigning, Following, Leading, Resigned };
 
-  void readHolder();
+  void readHolder() { this->readHolderOr(&Impl::standForVacancy); }
+  void readHolderOr(void (Impl::*IfVacant)());
   void follow(int64_t Revision);
   void standForVacancy();
-  void checkVacancy();
+  /// Many hosts find the role vacant at the same time. A read costs less than a
+  /// claim that fails.
+  void checkVacancy() { this->readHolderOr(&Impl::campaign); }
   void campaign();
+  using KeyWriter = void (Impl::*)(int64_t NewLease, absl::Duration SentAt);
+  using CommitHandler =
+      void (Impl::*)(const absl::StatusOr<StoreCommit> &Result,
+                     int64_t NewLease, absl::Duration SentAt);
+  void requestLease(KeyWriter Write, absl::Duration Delay,
+                    void (Impl::*Retry)());
+  void commitKey(std::vector<StoreTransaction::Condition> Conditions,
+                 int64_t NewLease, absl::Duration SentAt,
+                 CommitHandler Answered);
   void claimRole(int64_t NewLease, absl::Duration SentAt);
   void claimAnswered(const absl::StatusOr<StoreCommit> &Result,
                      int64_t NewLease, absl::Duration SentAt);
@@ -89,26 +102,25 @@
   });
 }
 
-/// Reads the leader's key; follows its holder, or campaigns if there is none.
-void LeaderRole::Impl::readHolder() {
+/// Reads the leader's key; follows its holder, or runs \p IfVacant if there is
+/// none.
+void LeaderRole::Impl::readHolderOr(void (Impl::*IfVacant)()) {
   this->Current = Phase::Following;
   uint64_t Expected = ++this->Generation;
   std::weak_ptr<Impl> Weak = this->weak_from_this();
-  this->Options.Store.get(
-      std::string(RecordKeys::Leader),
-      [Weak, Expected](absl::StatusOr<std::optional<StoreItem>> Result) {
-        std::shared_ptr<Impl> Self = Weak.lock();
-        if (!Self || Self->Generation != Expected)
-          return;
-        if (!Result.ok()) {
-          Self->LastFailureAt = Self->Options.Exec.now();
-          Self->runLater(RetryDelay, &Impl::readHolder);
-        } else if (Result->has_value()) {
-          Self->follow((*Result)->StoreRevision);
-        } else {
-          Self->standForVacancy();
-        }
-      });
+  this->Options.Store.get(std::string(RecordKeys::Leader),
+                          [Weak, Expected, IfVacant](
+                              absl::StatusOr<std::optional<StoreItem>> Result) {
+                            std::shared_ptr<Impl> Self = Weak.lock();
+                            if (!Self || Self->Generation != Expected)
+                              return;
+                            if (Result.ok() && !Result->has_value())
+                              return (Self.get()->*IfVacant)();
+                            if (Result.ok())
+                              return Self->follow((*Result)->StoreRevision);
+                            Self->LastFailureAt = Self->Options.Exec.now();
+                            Self->runLater(RetryDelay, &Impl::readHolder);
+                          });
 }
 
 /// Claims the vacant role after the delay of this host, if it is still vacant
@@ -122,26 +134,6 @@
   this->runLater(Delay, &Impl::checkVacancy);
 }
 
-/// Many hosts find the role vacant at the same time. A read costs less than a
-/// claim that fails.
-void LeaderRole::Impl::checkVacancy() {
-  uint64_t Expected = ++this->Generation;
-  std::weak_ptr<Impl> Weak = this->weak_from_this();
-  this->Options.Store.get(
-      std::string(RecordKeys::Leader),
-      [Weak, Expected](absl::StatusOr<std::optional<StoreItem>> Result) {
-        std::shared_ptr<Impl> Self = Weak.lock();
-        if (!Self || Self->Generation != Expected)
-          return;
-        if (Result.ok() && !Result->has_value())
-          return Self->campaign();
-        if (Result.ok())
-          return Self->follow((*Result)->StoreRevision);
-        Self->LastFailureAt = Self->Options.Exec.now();
-        Self->runLater(RetryDelay, &Impl::readHolder);
-      });
-}
-
 void LeaderRole::Impl::follow(int64_t Revision) {
   this->Current = Phase::Following;
   uint64_t Expected = ++this->Generation;
@@ -167,41 +159,57 @@
       });
 }
 
-void LeaderRole::Impl::campaign() {
-  this->Current = Phase::Campaigning;
-  uint64_t Expected = ++this->Generation;
-  this->Options.Events.info("role", "the role is vacant, this host claims it",
-                            {});
+/// Requests a lease for the leader's key and runs \p Write with it, or \p Retry
+/// after \p Delay if the store grants none.
+void LeaderRole::Impl::requestLease(KeyWriter Write, absl::Duration Delay,
+                                    void (Impl::*Retry)()) {
   absl::Duration SentAt = this->Options.Clock.now();
   std::weak_ptr<Impl> Weak = this->weak_from_this();
-  this->Options.Store.grantLease(
-      this->Options.TimeToLive,
-      [Weak, Expected, SentAt](absl::StatusOr<int64_t> Id) {
+  this->Options.Store.grantLease(this->Options.TimeToLive,
+                                 [Weak, Expected = this->Generation, SentAt,
+                                  Write, Delay,
+                                  Retry](absl::StatusOr<int64_t> Id) {
+                                   std::shared_ptr<Impl> Self = Weak.lock();
+                                   if (!Self || Self->Generation != Expected)
+                                     return;
+                                   if (Id.ok())
+                                     (Self.get()->*Write)(*Id, SentAt);
+                                   else
+                                     Self->runLater(Delay, Retry);
+                                 });
+}
+
+/// Writes the leader's key under the new lease, and vy/term, if the conditions
+/// hold.
+void LeaderRole::Impl::commitKey(
+    std::vector<StoreTransaction::Condition> Conditions, int64_t NewLease,
+    absl::Duration SentAt, CommitHandler Answered) {
+  StoreTransaction Claim;
+  Claim.Conditions = std::move(Conditions);
+  Claim.Puts = {
+      {std::string(RecordKeys::Leader), this->holderValue(NewLease), NewLease},
+      {std::string(RecordKeys::Term), this->Options.Host.str(), 0}};
+  std::weak_ptr<Impl> Weak = this->weak_from_this();
+  this->Options.Store.commit(
+      std::move(Claim), [Weak, Expected = this->Generation, NewLease, SentAt,
+                         Answered](absl::StatusOr<StoreCommit> Result) {
         std::shared_ptr<Impl> Self = Weak.lock();
-        if (!Self || Self->Generation != Expected)
-          return;
-        if (Id.ok())
-          Self->claimRole(*Id, SentAt);
-        else
-          Self->runLater(RetryDelay, &Impl::readHolder);
+        if (Self && Self->Generation == Expected)
+          (Self.get()->*Answered)(Result, NewLease, SentAt);
       });
 }
 
+void LeaderRole::Impl::campaign() {
+  this->Current = Phase::Campaigning;
+  ++this->Generation;
+  this->Options.Events.info("role", "the role is vacant, this host claims it",
+                            {});
+  this->requestLease(&Impl::claimRole, RetryDelay, &Impl::readHolder);
+}
+
 void LeaderRole::Impl::claimRole(int64_t NewLease, absl::Duration SentAt) {
-  std::string Key(RecordKeys::Leader);
-  StoreTransaction Claim;
-  Claim.Conditions.push_back({Key, 0});
-  Claim.Puts.push_back({Key, this->holderValue(NewLease), NewLease});
-  Claim.Puts.push_back(
-      {std::string(RecordKeys::Term), this->Options.Host.str(), 0});
-  std::weak_ptr<Impl> Weak = this->weak_from_this();
-  this->Options.Store.commit(std::move(Claim),
-                             [Weak, Expected = this->Generation, NewLease,
-                              SentAt](absl::StatusOr<StoreCommit> Result) {
-                               std::shared_ptr<Impl> Self = Weak.lock();
-                               if (Self && Self->Generation == Expected)
-                                 Self->claimAnswered(Result, NewLease, SentAt);
-                             });
+  this->commitKey({{std::string(RecordKeys::Leader), 0}}, NewLease, SentAt,
+                  &Impl::claimAnswered);
 }
 
 void LeaderRole::Impl::claimAnswered(const absl::StatusOr<StoreCommit> &Result,
@@ -257,37 +265,14 @@
   if (this->sinceConfirmed() >
       this->Options.TimeToLive + this->Options.MaxUnconfirmed)
     return this->loseRole("its lease was not confirmed for too long");
-  absl::Duration SentAt = this->Options.Clock.now();
-  std::weak_ptr<Impl> Weak = this->weak_from_this();
-  this->Options.Store.grantLease(
-      this->Options.TimeToLive,
-      [Weak, Expected = this->Generation, SentAt](absl::StatusOr<int64_t> Id) {
-        std::shared_ptr<Impl> Self = Weak.lock();
-        if (!Self || Self->Generation != Expected)
-          return;
-        if (Id.ok())
-          Self->rewriteKey(*Id, SentAt);
-        else
-          Self->runLater(ReclaimRetryDelay, &Impl::reclaim);
-      });
+  this->requestLease(&Impl::rewriteKey, ReclaimRetryDelay, &Impl::reclaim);
 }
 
 void LeaderRole::Impl::rewriteKey(int64_t NewLease, absl::Duration SentAt) {
-  std::string Key(RecordKeys::Leader);
-  std::string TermKey(RecordKeys::Term);
-  StoreTransaction Claim;
-  Claim.Conditions = {{Key, 0}, {TermKey, this->KeyRevision}};
-  Claim.Puts = {{Key, this->holderValue(NewLease), NewLease},
-                {TermKey, this->Options.Host.str(), 0}};
   this->ClaimLeases.emplace(NewLease, SentAt);
-  std::weak_ptr<Impl> Weak = this->weak_from_this();
-  this->Options.Store.commit(
-      std::move(Claim), [Weak, Expected = this->Generation, NewLease,
-                         SentAt](absl::StatusOr<StoreCommit> Result) {
-        std::shared_ptr<Impl> Self = Weak.lock();
-        if (Self && Self->Generation == Expected)
-          Self->rewriteAnswered(Result, NewLease, SentAt);
-      });
+  this->commitKey({{std::string(RecordKeys::Leader), 0},
+                   {std::string(RecordKeys::Term), this->KeyRevision}},
+                  NewLease, SentAt, &Impl::rewriteAnswered);
 }
 
 void LeaderRole::Impl::rewriteAnswered(
--- a/libs/fleethost/src/FleetHost.cpp
+++ b/libs/fleethost/src/FleetHost.cpp
@@ -25,9 +25,9 @@
 /// Upper bound of a host's own part of that wait, by which hosts with equal
 /// shares differ.
 static constexpr absl::Duration CandidateSpread = absl::Milliseconds(60);
-/// How long a leader that the store does not confirm keeps its state, in the
-/// hope that no other host gains the role. It extends no lease for most of that
-/// time. Outages last for seconds.
+/// How long a leader that the store does not confirm keeps its state, so that
+/// it can go on after an outage if no other host has led. It extends leases
+/// only at the beginning of that time.
 static constexpr absl::Duration MaxUnconfirmedRole = absl::Seconds(20);
 /// Time until the load balancer stops sending connections to a host that is
 /// not ready: it checks every second and stops after two failed checks.
