Learn a worker's clock from its answers to orders again

Trace: the clock of a leader stands still while its machine is suspended, so its estimate of an idle worker's clock falls behind by the whole time; the worker refuses each start as too late, and its answer shows its clock, which was ignored as later than possible.

Readings of the worker itself are applied again once a report has shown the clock of its incarnation; only those of registrations are limited.

--- a/libs/control/src/WorkerDriver.cpp
+++ b/libs/control/src/WorkerDriver.cpp
@@ -36,8 +36,9 @@
       Registration(Registration), ClockAt(Exec.now()),
       IncarnationSeenAt(Exec.now()), LeaseEndsBy(LeaseEndsBy) {}
 
-/// Applies the reading of a report of the current incarnation.
-void WorkerDriver::noteReportedClock(absl::Duration Reading) {
+/// Applies a reading that the worker has sent in a report or, once a report has
+/// shown the clock of this incarnation, in the answer to an order.
+void WorkerDriver::noteWorkerClock(absl::Duration Reading) {
   absl::Time Now = this->Exec.now();
   // An answer that was delayed may show less than the known lower bound; the
   // bound is more precise then.
@@ -50,14 +51,14 @@
   this->IsClockReported = true;
 }
 
-/// Applies a reading that may be wrong or of an earlier incarnation, from a
-/// registration or the answer to an order, if the reports allow it. A reading
-/// that is too high would make leases end later than this leader expects.
-void WorkerDriver::notePossibleClock(absl::Duration Reading) {
+/// Applies the reading of a registration, which another program may have
+/// written, if the worker's own readings allow it. A reading that is too high
+/// would make leases end later than this leader expects.
+void WorkerDriver::noteRegisteredClock(absl::Duration Reading) {
   absl::Duration AtMost =
       this->Clock + (this->Exec.now() - this->ClockAt) * FastestWorkerClock;
   if (this->IsClockReported && Reading <= AtMost)
-    this->noteReportedClock(Reading);
+    this->noteWorkerClock(Reading);
 }
 
 /// Whether a reading taken after \p SentAt is below what the clock must have
@@ -118,7 +119,7 @@
   this->Registration = Newer;
   if (Newer.Incarnation > Known && Known != 0)
     this->beginIncarnation(Newer.Incarnation);
-  this->notePossibleClock(Newer.Clock);
+  this->noteRegisteredClock(Newer.Clock);
   this->renewIfNeeded();
 }
 
@@ -239,7 +240,7 @@
   const WorkerReport &Report = Reply.Report;
   if (!this->adoptReportedIncarnation(Report.Incarnation, AskedAt))
     return this->retryLater();
-  this->noteReportedClock(Report.Clock);
+  this->noteWorkerClock(Report.Clock);
   this->HasReported = true;
   this->HasEverReported = true;
   this->ReportedAt = this->Exec.now();
@@ -318,8 +319,8 @@
   --this->StartsInFlight;
   bool HasRestarted =
       Reply.Clock && this->isEarlierThanKnown(*Reply.Clock, SentAt);
-  if (Reply.Clock && !HasRestarted)
-    this->notePossibleClock(*Reply.Clock);
+  if (Reply.Clock && !HasRestarted && this->IsClockReported)
+    this->noteWorkerClock(*Reply.Clock);
   // A start order is idempotent: the worker starts each run only once.
   bool MayRetry = Retries < MaxStartRetries && this->OwnerRef.mayStart(Order);
   if (Reply.Answer == OrderAnswer::Unknown && MayRetry)
@@ -344,8 +345,8 @@
                        std::shared_ptr<WorkerDriver> Self = Weak.lock();
                        if (!Self || Self->IsClosed)
                          return;
-                       if (Reply.Clock)
-                         Self->notePossibleClock(*Reply.Clock);
+                       if (Reply.Clock && Self->IsClockReported)
+                         Self->noteWorkerClock(*Reply.Clock);
                        if (Reply.Answer == OrderAnswer::Fenced)
                          return Self->OwnerRef.fenced();
                        Self->OwnerRef.stopAnswered(
--- a/libs/control/src/WorkerDriver.h
+++ b/libs/control/src/WorkerDriver.h
@@ -98,8 +98,8 @@
   WorkerTarget target() const {
     return {this->Registration.Id, this->Registration.Address};
   }
-  void noteReportedClock(absl::Duration Reading);
-  void notePossibleClock(absl::Duration Reading);
+  void noteWorkerClock(absl::Duration Reading);
+  void noteRegisteredClock(absl::Duration Reading);
   bool isEarlierThanKnown(absl::Duration Reading, absl::Time SentAt) const;
   /// \param Retries number of earlier attempts that were not answered.
   void sendStart(const StartOrder &Order, int Retries = 0);
--- a/libs/control/tests/LeaderFuzzTest.cpp
+++ b/libs/control/tests/LeaderFuzzTest.cpp
@@ -403,8 +403,12 @@
 // same run again, and no second stop.
 // 131543358: the same for a gang that was done, one member of which kept
 // running.
+// 37874909: the clock of a leader stood still while it was frozen, and it
+// ignored the later clock in the answers of idle workers, which refused all its
+// starts as too late.
 TEST(LeaderFuzzTest, SeedsThatHaveFailed) {
-  for (uint32_t Seed : {1993311897U, 501942518U, 2122127322U, 131543358U})
+  for (uint32_t Seed :
+       {1993311897U, 501942518U, 2122127322U, 131543358U, 37874909U})
     EXPECT_EQ(violationsOf(Seed), "") << Seed;
 }
 
--- a/libs/control/tests/LeaderTaskTest.cpp
+++ b/libs/control/tests/LeaderTaskTest.cpp
@@ -433,6 +433,24 @@
     EXPECT_NE(Farm.StartedRuns[I].Worker, WorkerId("w3"));
 }
 
+// Guards against starts that idle workers refuse for good as too late, because
+// the clock of a suspended leader has stood still.
+TEST_F(LeaderTaskTest, SuspendedLeaderLearnsTheClocksOfIdleWorkers) {
+  this->Cluster.submit(this->host("a"), Id, this->Cluster.job(4, 8));
+  this->Cluster.runFor(absl::Seconds(3));
+  std::string Leader = this->Cluster.leaderName();
+  for (int I = 0; I < 5; ++I) {
+    this->Cluster.freezeHost(Leader, absl::Seconds(2));
+    this->Cluster.runFor(absl::Seconds(4));
+    ASSERT_EQ(this->Cluster.leaderName(), Leader);
+  }
+  this->Cluster.submit(this->host("a"), "00000000000000aa",
+                       this->Cluster.job(4, 8));
+  this->Cluster.runFor(absl::Seconds(5));
+  EXPECT_EQ(*this->Cluster.state(this->host("a"), "00000000000000aa"),
+            BatchState::Done);
+}
+
 // Guards against a worker that is given up for good because another program
 // once wrote a later incarnation into its registration.
 TEST_F(LeaderTaskTest, RegistrationWithAWrongIncarnationIsRefuted) {
