--- a/libs/control/tests/LeaderTaskTest.cpp
+++ b/libs/control/tests/LeaderTaskTest.cpp
@@ -304,20 +304,28 @@
 // leases for expired, while the successor has taken these workers over.
 TEST_F(LeaderTaskTest, CutOffLeaderStartsNothingAgain) {
   FakeWorkerFarm &Farm = this->Cluster.Farm;
-  Farm.Durations = [](const TaskKey &) { return absl::Seconds(2); };
+  Farm.Durations = [](const TaskKey &) { return absl::Seconds(5); };
   this->Cluster.submit(this->standby(), Id, this->Cluster.job(2, 8));
   this->Cluster.runFor(absl::Seconds(1));
   ASSERT_EQ(Farm.StartedRuns.size(), 2U);
   std::string Leader = this->Cluster.leaderName();
-  std::set<WorkerId> Unreachable;
-  for (const FakeWorkerFarm::StartedRun &Run : Farm.StartedRuns)
-    Unreachable.insert(Run.Worker);
+  std::string Successor = Leader == "a" ? "b" : "a";
+  std::set<WorkerId> Used;
+  std::set<WorkerId> Free = {WorkerId("w0"), WorkerId("w1"), WorkerId("w2"),
+                             WorkerId("w3")};
+  for (const FakeWorkerFarm::StartedRun &Run : Farm.StartedRuns) {
+    Used.insert(Run.Worker);
+    Free.erase(Run.Worker);
+  }
+  // Each of the two leaders reaches only the workers on its side of the cut.
   this->host(Leader).Store->setCut(true);
-  this->host(Leader).Workers->setCut(Unreachable);
+  this->host(Leader).Workers->setCut(Used);
+  this->host(Successor).Workers->setCut(Free);
   this->Cluster.runFor(absl::Seconds(12));
   EXPECT_EQ(this->repeatedStarts(), 0U);
   this->host(Leader).Store->setCut(false);
   this->host(Leader).Workers->setCut({});
+  this->host(Successor).Workers->setCut({});
   this->Cluster.runFor(absl::Seconds(12));
   EXPECT_EQ(this->repeatedStarts(), 0U);
   EXPECT_EQ(*this->Cluster.state(this->host("a"), Id), BatchState::Done);
@@ -425,6 +433,24 @@
     EXPECT_NE(Farm.StartedRuns[I].Worker, WorkerId("w3"));
 }
 
+// Guards against starts that idle workers refuse for good as too late, because
+// the clock of a suspended leader has stood still.
+TEST_F(LeaderTaskTest, SuspendedLeaderLearnsTheClocksOfIdleWorkers) {
+  this->Cluster.submit(this->host("a"), Id, this->Cluster.job(4, 8));
+  this->Cluster.runFor(absl::Seconds(3));
+  std::string Leader = this->Cluster.leaderName();
+  for (int I = 0; I < 5; ++I) {
+    this->Cluster.freezeHost(Leader, absl::Seconds(2));
+    this->Cluster.runFor(absl::Seconds(4));
+    ASSERT_EQ(this->Cluster.leaderName(), Leader);
+  }
+  this->Cluster.submit(this->host("a"), "00000000000000aa",
+                       this->Cluster.job(4, 8));
+  this->Cluster.runFor(absl::Seconds(5));
+  EXPECT_EQ(*this->Cluster.state(this->host("a"), "00000000000000aa"),
+            BatchState::Done);
+}
+
 // Guards against a worker that is given up for good because another program
 // once wrote a later incarnation into its registration.
 TEST_F(LeaderTaskTest, RegistrationWithAWrongIncarnationIsRefuted) {
