--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,11 +9,13 @@
 sys.dont_write_bytecode = True
 
 import yard as standins
-from yard import Worker, step
+from yard import Worker, now, step
 
 WORKERS = 8
 TASKS = 64          # of the job that can't be done; jobs have up to 72
-JOBS = 24           # one hopeless job beside them: a share of 0.04
+BEFORE = 20         # jobs of the same kind before it, and after it: one of 25
+AFTER = 4           # can't be done, a share of 0.04, all within 3 s
+TASK_MS = 300
 
 
 def workers(yard):
@@ -23,17 +25,22 @@
 
 
 async def case(yard, trouble):
+    began = now()
     jobs = []
-    for number in range(JOBS):
-        if number == JOBS - 4 and trouble:
-            await asyncio.sleep(1)
-            yard.record("a job comes that can never be done")
-            await yard.submit("bulk", [step(TASKS, 1, 600)],
-                              {"ms": 600, "fails": True})
-            await asyncio.sleep(1)
-        jobs.append(await yard.submit(("bulk", "normal")[number % 2],
-                                      [step(2, 1, 600)], {"ms": 600}))
-        await asyncio.sleep(0.3)
+    for _ in range(BEFORE):
+        jobs.append(await yard.submit("bulk", [step(1, 1, TASK_MS)],
+                                      {"ms": TASK_MS}))
+        await asyncio.sleep(0.04)
+    await asyncio.sleep(0.5)
+    if trouble:
+        yard.record("a job comes that can never be done")
+        await yard.submit("bulk", [step(TASKS, 1, TASK_MS)],
+                          {"ms": TASK_MS, "fails": True})
+    await asyncio.sleep(0.6)
+    for _ in range(AFTER):
+        jobs.append(await yard.submit("bulk", [step(2, 1, TASK_MS)],
+                                      {"ms": TASK_MS}))
+    yard.record("jobs came for", f"{now() - began:.1f} s")
     return await standins.unstarted_at_the_end(yard, jobs)
 
 
