--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,7 @@
 """One job that can never be done puts all workers at rest for half a minute."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -45,4 +46,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(standins.run_case(HERE, case, workers))
+    TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+    sys.exit(standins.run_case(HERE, case, workers, TROUBLE))
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,6 +1,7 @@
 """Jobs that an unhealthy worker has refused to start count as begun."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -56,4 +57,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(standins.run_case(HERE, case, workers))
+    TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+    sys.exit(standins.run_case(HERE, case, workers, TROUBLE))
--- a/review/standins/yard.py
+++ b/review/standins/yard.py
@@ -803,10 +803,9 @@
     return broken
 
 
-def run_case(folder, case, workers, hosts=3, hold_max_ms=6000):
+def run_case(folder, case, workers, trouble, hosts=3, hold_max_ms=6000):
     """Runs `case(yard, trouble)`, which returns the broken rules as texts.
     Exit codes: 1 broken, 0 held, 2 could not run."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(pathlib.Path(folder) / "record.txt")
     temporary = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
 
