Attribute failed runs to workers or jobs by observations

Cause: each first failure of a task counted against its worker by itself, so eight tasks of one job that failed together gave the longest rest; nothing bounded how many workers rested at once, and resting workers were left out even if no other was left.

Ruled out: the attempts of the hopeless job (it ends after them); the length of the rest alone (the fleet still stands still for that time); counting only tasks that are done elsewhere (attempts can be used up on faulty workers).

Now the runs of one job that ran on a worker together are one observation; a job that failed on more than a quarter of the pool and completed nothing counts against no worker; at most a quarter of a pool is limited; after its rest a worker gets one run at a time until one is done; a job without a run takes a limited worker after 2 s. Rests after refused starts are kept apart.

Tests, failed before: HopelessJobLeavesTheWorkersInUse (0 starts instead of 8), HopelessJobsOneAfterTheOtherLeaveTheWorkersInUse, and RestingWorkerTakesAJobThatHasNoOther (0 instead of 1). WorkerThatFailsEverythingGetsFewRuns passes before and after.

--- a/libs/scheduler/src/JobEntry.h
+++ b/libs/scheduler/src/JobEntry.h
@@ -8,6 +8,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <vector>
 
@@ -50,6 +51,16 @@
         ->Steps[static_cast<size_t>(Occurrence) * this->Job.Steps.size() +
                 static_cast<size_t>(Step)];
   }
+  bool hasRuns() const {
+    return std::any_of(
+        this->Steps.begin(), this->Steps.end(),
+        [](const StepEntry &Step) { return Step.ActiveTasks > 0; });
+  }
+  bool hasCompletedTasks() const {
+    return std::any_of(
+        this->Steps.begin(), this->Steps.end(),
+        [](const StepEntry &Step) { return Step.DoneTasks > 0; });
+  }
   const BatchStep &spec(int Step) const {
     return this->Job.Steps[static_cast<size_t>(Step)];
   }
--- a/libs/scheduler/src/PlacementRequest.h
+++ b/libs/scheduler/src/PlacementRequest.h
@@ -19,6 +19,10 @@
   /// exceed theirs may be stopped as well.
   bool IsGuaranteed = false;
 
+  /// The job has no run, and the step has waited as long as it may for a better
+  /// placement: any worker that can run it will do.
+  bool IsOverdue = false;
+
   const BatchStep &spec() const { return this->Entry->spec(this->Step); }
   TaskKey key(int Index) const {
     return {this->Entry->Job.Id, this->Occurrence, this->Step, Index};
--- a/libs/scheduler/src/PlacementSearch.cpp
+++ b/libs/scheduler/src/PlacementSearch.cpp
@@ -31,6 +31,16 @@
          this->Jobs.urgentDemand(Account) <= Found->second;
 }
 
+/// Whether the limit of a worker on which runs have failed allows another run.
+static bool isWithinRunLimit(const PlacementRequest &Request,
+                             const WorkerState &Worker,
+                             const TentativePlacement &Placement) {
+  if (Request.IsOverdue || Worker.Limit == RunLimit::Unlimited)
+    return true;
+  return Worker.Limit == RunLimit::One && Worker.Runs.empty() &&
+         Placement.placedOn(Worker) == 0;
+}
+
 bool PlacementSearch::isEligible(const PlacementRequest &Request,
                                  const WorkerState &Worker,
                                  const TentativePlacement &Placement) const {
@@ -38,7 +48,8 @@
   const WorkerRegistration &Registration = Worker.Registration;
   if (!Worker.IsUsable || Registration.IsDraining ||
       Registration.WorkerPool != Request.Entry->Job.WorkerPool ||
-      Worker.BackoffUntil > Request.Now ||
+      Worker.RefusedUntil > Request.Now ||
+      !isWithinRunLimit(Request, Worker, Placement) ||
       !Step.PerTask.fitsIn(Registration.Capacity))
     return false;
   if (!Step.RequiredLabel.empty() &&
@@ -58,7 +69,7 @@
   const Resources &Need = Request.spec().PerTask;
   auto FailedOn = Request.Entry->FailedOn.find(Request.key(Index));
   WorkerState *Best = nullptr;
-  std::tuple<bool, int64_t, int64_t> BestScore;
+  std::tuple<RunLimit, bool, int64_t, int64_t> BestScore;
   for (WorkerState *Worker : this->Fleet.workers()) {
     if (!Scope.Rack.empty() && Worker->Registration.Rack != Scope.Rack)
       continue;
@@ -68,8 +79,8 @@
       continue;
     bool HasFailedHere = FailedOn != Request.Entry->FailedOn.end() &&
                          FailedOn->second == Worker->Registration.Id;
-    std::tuple<bool, int64_t, int64_t> Score(HasFailedHere, Left.Accelerators,
-                                             Left.MilliCores);
+    std::tuple<RunLimit, bool, int64_t, int64_t> Score(
+        Worker->Limit, HasFailedHere, Left.Accelerators, Left.MilliCores);
     if (!Best || Score < BestScore) {
       Best = Worker;
       BestScore = Score;
@@ -268,6 +279,8 @@
     if (!Step.DataRack.empty() && Worker->Registration.Rack != Step.DataRack)
       continue;
     int64_t Fits = Step.MaxPerWorker > 0 ? Step.MaxPerWorker : Step.TaskCount;
+    if (Worker->Limit == RunLimit::One && !Request.IsOverdue)
+      Fits = 1;
     const Resources &Capacity = Worker->Registration.Capacity;
     const Resources &Need = Step.PerTask;
     if (Need.Accelerators > 0)
--- a/libs/scheduler/src/Scheduler.cpp
+++ b/libs/scheduler/src/Scheduler.cpp
@@ -81,6 +81,7 @@
   Impl &I = *this->Implementation;
   I.Fleet.remove(Worker);
   I.LastEndSequences.erase(Worker);
+  I.Failures.forgetWorker(Worker);
 }
 
 size_t Scheduler::runCount(const WorkerId &Worker) const {
--- a/libs/scheduler/src/SchedulerImpl.h
+++ b/libs/scheduler/src/SchedulerImpl.h
@@ -2,6 +2,7 @@
 #define VANILLAYARD_SCHEDULER_SCHEDULERIMPL_H
 
 #include "ArrivalRate.h"
+#include "FailureLedger.h"
 #include "FleetState.h"
 #include "JobTable.h"
 #include "PlacementSearch.h"
@@ -27,8 +28,7 @@
   void stopGangOf(const RunRecord &Run);
   void applyEnd(WorkerState &Worker, const RunEnd &End, absl::Time Now);
   void applyFailure(JobEntry &Entry, WorkerState &Worker, const RunEnd &End,
-                    absl::Time Now);
-  void recordWorkerFailure(WorkerState &Worker, absl::Time Now);
+                    absl::Time StartedAt, absl::Time Now);
   void applyRunningTask(WorkerState &Worker, const RunningTask &Reported,
                         absl::Time AskedAt, absl::Time Now);
   void endUnlistedRuns(WorkerState &Worker, const WorkerReport &Report,
@@ -38,6 +38,7 @@
 
   // SchedulerPlan.cpp: places tasks and returns orders.
   struct ReadyStep;
+  void limitFaultyWorkers(absl::Time Now);
   std::vector<ReadyStep> readySteps(absl::Time Now);
   bool leavesHeadroom(const PlacementRequest &Request, int Tasks) const;
   void placeStep(const ReadyStep &Ready, absl::Time Now);
@@ -61,6 +62,7 @@
   Log &Events;
   FleetState Fleet;
   JobTable Jobs;
+  FailureLedger Failures;
   PlacementSearch Search;
   std::vector<ReservedGroup> Reserved;
   /// Rate at which urgent jobs request accelerators, by worker pool.
--- a/libs/scheduler/src/SchedulerPlan.cpp
+++ b/libs/scheduler/src/SchedulerPlan.cpp
@@ -24,6 +24,11 @@
 /// use while jobs wait.
 static constexpr double MaxHeadroomShare = 0.25;
 
+/// How long a step of a job without a run waits for a better placement before
+/// it takes any worker that can run it. Stays below the 3 s for which the
+/// platform accepts that a job has no run while there is room for it.
+static constexpr absl::Duration MaxVoluntaryWait = absl::Seconds(2);
+
 /// Expected end of a job relative to its latency objective. Jobs with lower
 /// values are placed first.
 enum class ExpectedLateness { OnTime, Late, TooLate };
@@ -36,6 +41,7 @@
   bool IsGuaranteed;
   ExpectedLateness Lateness;
   absl::Time Deadline;
+  bool IsOverdue;
 
   auto sortKey() const {
     return std::make_tuple(this->Entry->Job.Priority, !this->IsGuaranteed,
@@ -59,6 +65,29 @@
   return ExpectedLateness::TooLate;
 }
 
+/// Sets WorkerState::Limit of all workers.
+void Scheduler::Impl::limitFaultyWorkers(absl::Time Now) {
+  std::map<std::string, std::vector<WorkerId>> Pools;
+  if (!this->Failures.isEmpty())
+    for (const WorkerState *Worker : this->Fleet.workers())
+      if (Worker->IsUsable && !Worker->Registration.IsDraining)
+        Pools[Worker->Registration.WorkerPool].push_back(
+            Worker->Registration.Id);
+  std::map<WorkerId, RunLimit> Limits;
+  for (const auto &[Name, Workers] : Pools)
+    Limits.merge(this->Failures.limits(Workers, Now));
+  for (WorkerState *Worker : this->Fleet.workers()) {
+    auto Found = Limits.find(Worker->Registration.Id);
+    RunLimit Limit =
+        Found == Limits.end() ? RunLimit::Unlimited : Found->second;
+    if (Limit != Worker->Limit)
+      this->Events.warning("scheduler", "runs fail on a worker, limit changed",
+                           {{"worker", Worker->Registration.Id},
+                            {"limit", RunLimitNames.nameOf(Limit)}});
+    Worker->Limit = Limit;
+  }
+}
+
 std::vector<Scheduler::Impl::ReadyStep>
 Scheduler::Impl::readySteps(absl::Time Now) {
   std::vector<ReadyStep> Ready;
@@ -70,6 +99,7 @@
         Job.Stretch * Job.criticalPathDuration() + Job.TargetLatency;
     bool IsGuaranteed =
         Job.Priority == 0 && this->Search.isWithinGuarantee(Job.Account);
+    bool HasRuns = Entry->hasRuns();
     for (int P = 0; P < static_cast<int>(Entry->Steps.size()); ++P) {
       auto StepCount = static_cast<int>(Job.Steps.size());
       int K = P / StepCount;
@@ -84,7 +114,8 @@
       absl::Time Begin = objectiveStart(Job, K);
       Ready.push_back({Entry.get(), K, S, IsGuaranteed,
                        expectedLateness(Job, Begin, Objective, Now),
-                       Begin + Objective});
+                       Begin + Objective,
+                       !HasRuns && Now - Step.ReadySince >= MaxVoluntaryWait});
     }
   }
   std::sort(Ready.begin(), Ready.end(),
@@ -161,8 +192,13 @@
 
 void Scheduler::Impl::placeStep(const ReadyStep &Ready, absl::Time Now) {
   JobEntry &Entry = *Ready.Entry;
-  PlacementRequest Request{&Entry, Ready.Occurrence,        Ready.Step,
-                           Now,    Entry.Job.Priority == 0, Ready.IsGuaranteed};
+  PlacementRequest Request{&Entry,
+                           Ready.Occurrence,
+                           Ready.Step,
+                           Now,
+                           Entry.Job.Priority == 0,
+                           Ready.IsGuaranteed,
+                           Ready.IsOverdue};
   int Count = Request.spec().TaskCount;
   if (Request.spec().IsGang) {
     std::vector<int> All(static_cast<size_t>(Count));
@@ -282,6 +318,7 @@
   Impl &I = *this->Implementation;
   Orders Round;
   I.HasWaitingWork = false;
+  I.limitFaultyWorkers(Now);
   I.launchReservedGroups(Now, Round);
   for (const Impl::ReadyStep &Ready : I.readySteps(Now))
     I.placeStep(Ready, Now);
--- a/libs/scheduler/src/SchedulerReports.cpp
+++ b/libs/scheduler/src/SchedulerReports.cpp
@@ -7,7 +7,6 @@
 #include <fmt/ostream.h>
 
 #include <algorithm>
-#include <cmath>
 #include <sstream>
 
 namespace vanillayard {
@@ -16,13 +15,6 @@
 /// list.
 static constexpr size_t MaxEndsPerReport = 500;
 
-/// Number of consecutive first failures of tasks after which a worker gets no
-/// new tasks for the backoff time.
-static constexpr int FailuresBeforeBackoff = 2;
-/// Backoff after FailuresBeforeBackoff failures; doubled with each further one.
-static constexpr absl::Duration InitialBackoff = absl::Seconds(2);
-static constexpr absl::Duration MaxBackoff = absl::Seconds(30);
-
 /// Backoff of a worker that refused a start for lack of resources: the
 /// scheduler's state of the worker is outdated until the next report.
 static constexpr absl::Duration BackoffAfterNoRoom = absl::Milliseconds(300);
@@ -65,10 +57,7 @@
 /// Removes a job whose end is recorded and that has no runs left. While runs
 /// are being stopped, the specification of the job is still needed.
 void Scheduler::Impl::removeJobIfFinished(const JobEntry &Entry) {
-  bool HasRuns =
-      std::any_of(Entry.Steps.begin(), Entry.Steps.end(),
-                  [](const StepEntry &Step) { return Step.ActiveTasks > 0; });
-  if (Entry.IsEndRecorded && !HasRuns)
+  if (Entry.IsEndRecorded && !Entry.hasRuns())
     this->Jobs.remove(JobId(Entry.Job.Id));
 }
 
@@ -112,27 +101,17 @@
     this->stopRun(*Member);
 }
 
-void Scheduler::Impl::recordWorkerFailure(WorkerState &Worker, absl::Time Now) {
-  ++Worker.ConsecutiveFailures;
-  int Beyond = Worker.ConsecutiveFailures - FailuresBeforeBackoff;
-  if (Beyond < 0)
-    return;
-  absl::Duration Backoff =
-      std::min(MaxBackoff, InitialBackoff * std::exp2(std::min(Beyond, 10)));
-  Worker.BackoffUntil = std::max(Worker.BackoffUntil, Now + Backoff);
-  this->Events.warning("scheduler", "worker rests after failures",
-                       {{"worker", Worker.Registration.Id},
-                        {"failures", Worker.ConsecutiveFailures},
-                        {"rest", Backoff}});
-}
-
+/// \param StartedAt when the run started; InfinitePast if that is not known.
 void Scheduler::Impl::applyFailure(JobEntry &Entry, WorkerState &Worker,
-                                   const RunEnd &End, absl::Time Now) {
+                                   const RunEnd &End, absl::Time StartedAt,
+                                   absl::Time Now) {
   std::vector<int64_t> &Failed = Entry.attemptProgress(End.Task).FailedRuns;
   if (std::find(Failed.begin(), Failed.end(), End.Run) != Failed.end())
     return;
+  // Later failures of a task say more about the task than about the worker.
   if (Failed.empty())
-    this->recordWorkerFailure(Worker, Now);
+    this->Failures.runFailed(Worker.Registration.Id, JobId(Entry.Job.Id),
+                             StartedAt, Entry.hasCompletedTasks(), Now);
   Failed.push_back(End.Run);
   Entry.FailedOn[End.Task] = Worker.Registration.Id;
   Entry.IsDirty = true;
@@ -160,6 +139,7 @@
                         {"outcome", RunOutcomeNames.nameOf(End.Outcome)},
                         {"current", IsCurrent}},
                        fmt::format("run ended: {}", nameOf(End.Task)));
+  absl::Time StartedAt = IsCurrent ? Run->StartedAt : absl::InfinitePast();
   if (IsCurrent) {
     if (End.Outcome != RunOutcome::Done && Run->Phase != RunPhase::Stopping)
       this->stopGangOf(*Run);
@@ -181,10 +161,9 @@
     Entry->IsDirty = true;
   }
   if (End.Outcome == RunOutcome::Failed) {
-    this->applyFailure(*Entry, Worker, End, Now);
+    this->applyFailure(*Entry, Worker, End, StartedAt, Now);
   } else if (End.Outcome == RunOutcome::Done) {
-    Worker.ConsecutiveFailures = 0;
-    Worker.BackoffUntil = absl::InfinitePast();
+    this->Failures.runDone(Worker.Registration.Id, JobId(Entry->Job.Id));
     // Another worker can have a run of the task if this one started late.
     if (RunRecord *Other = this->Fleet.runOf(End.Task))
       this->stopRun(*Other);
@@ -321,6 +300,7 @@
 void Scheduler::workerRestarted(const WorkerId &Worker) {
   Impl &I = *this->Implementation;
   I.LastEndSequences.erase(Worker);
+  I.Failures.forgetWorker(Worker);
   I.Events.warning("scheduler", "worker has restarted",
                    {{"worker", Worker}, {"runs", this->runCount(Worker)}});
 }
@@ -362,11 +342,11 @@
     return;
   }
   if (Answer == OrderAnswer::NoRoom)
-    Worker.BackoffUntil =
-        std::max(Worker.BackoffUntil, Now + BackoffAfterNoRoom);
+    Worker.RefusedUntil =
+        std::max(Worker.RefusedUntil, Now + BackoffAfterNoRoom);
   if (Answer == OrderAnswer::Unavailable)
-    Worker.BackoffUntil =
-        std::max(Worker.BackoffUntil, Now + BackoffAfterUnavailable);
+    Worker.RefusedUntil =
+        std::max(Worker.RefusedUntil, Now + BackoffAfterUnavailable);
   I.endRun(*Run);
 }
 
--- a/libs/scheduler/src/WorkerState.h
+++ b/libs/scheduler/src/WorkerState.h
@@ -1,6 +1,7 @@
 #ifndef VANILLAYARD_SCHEDULER_WORKERSTATE_H
 #define VANILLAYARD_SCHEDULER_WORKERSTATE_H
 
+#include "RunLimit.h"
 #include "fleet/Resources.h"
 #include "fleet/WorkerRegistration.h"
 
@@ -23,12 +24,10 @@
   /// Resources that its runs may be using now: all but the reserved ones.
   Resources Occupied;
   std::vector<RunRecord *> Runs;
-  /// Consecutive first failures: failed runs of tasks that had not failed
-  /// before.
-  int ConsecutiveFailures = 0;
-  /// The worker gets no new tasks before this time, after failures or refused
-  /// starts.
-  absl::Time BackoffUntil = absl::InfinitePast();
+  /// Set by each plan from the failures on the worker.
+  RunLimit Limit = RunLimit::Unlimited;
+  /// The worker gets no new tasks before this time, as it has refused a start.
+  absl::Time RefusedUntil = absl::InfinitePast();
 
   /// Resources that are not committed.
   Resources free() const {
--- a/libs/scheduler/tests/SchedulerTest.cpp
+++ b/libs/scheduler/tests/SchedulerTest.cpp
@@ -380,6 +380,94 @@
   EXPECT_EQ(Round.Starts[0].Worker, WorkerId("w2"));
 }
 
+// Guards against one job that can never be done and puts all workers at rest:
+// jobs that come later start at once.
+TEST(SchedulerTest, HopelessJobLeavesTheWorkersInUse) {
+  SchedulerHarness Harness;
+  for (int I = 0; I < 8; ++I)
+    Harness.addWorker("w" + std::to_string(I));
+  Harness.addJob(Harness.makeJob("hopeless", 64, 1));
+  Orders Round = Harness.planAndAccept();
+  ASSERT_EQ(Round.Starts.size(), 64U);
+  Harness.Exec.advance(absl::Milliseconds(300));
+  for (const StartOrder &Order : Round.Starts)
+    Harness.reportEnd(Order, RunOutcome::Failed);
+  Harness.Sched.cancelJob(JobId("hopeless"), Harness.Exec.now());
+  Harness.addJob(Harness.makeJob("later", 8, 8));
+  EXPECT_EQ(Harness.planAndAccept().Starts.size(), 8U);
+}
+
+// The same for jobs of one task each, which fail one after the other.
+TEST(SchedulerTest, HopelessJobsOneAfterTheOtherLeaveTheWorkersInUse) {
+  SchedulerHarness Harness;
+  for (int I = 0; I < 8; ++I)
+    Harness.addWorker("w" + std::to_string(I));
+  for (int I = 0; I < 20; ++I)
+    Harness.addJob(Harness.makeJob("hopeless" + std::to_string(I), 1, 8));
+  for (int Round = 0; Round < 9; ++Round) {
+    for (const StartOrder &Order : Harness.planAndAccept().Starts)
+      Harness.reportEnd(Order, RunOutcome::Failed);
+    Harness.Exec.advance(absl::Milliseconds(300));
+  }
+  Harness.addJob(Harness.makeJob("later", 6, 8));
+  EXPECT_EQ(Harness.planAndAccept().Starts.size(), 6U);
+}
+
+// Guards against a job that waits for the end of a rest although the resting
+// worker is the only one that can run it.
+TEST(SchedulerTest, RestingWorkerTakesAJobThatHasNoOther) {
+  SchedulerHarness Harness;
+  Harness.addWorker("w0", "r1", {128000, 262144, 16});
+  for (int I = 1; I < 8; ++I)
+    Harness.addWorker("w" + std::to_string(I));
+  for (int I = 0; I < 6; ++I) {
+    BatchJob Job = Harness.makeJob("j" + std::to_string(I), 1, 16);
+    Job.MaxAttempts = 1;
+    Harness.addJob(Job);
+  }
+  for (int I = 0; I < 200; ++I) {
+    for (const StartOrder &Order : Harness.planAndAccept().Starts)
+      Harness.reportEnd(Order, RunOutcome::Failed);
+    Harness.Exec.advance(absl::Milliseconds(100));
+  }
+  Harness.addJob(Harness.makeJob("wide", 1, 16));
+  size_t Starts = 0;
+  for (int I = 0; I < 30; ++I) {
+    Starts += Harness.planAndAccept().Starts.size();
+    Harness.Exec.advance(absl::Milliseconds(100));
+  }
+  EXPECT_EQ(Starts, 1U);
+}
+
+// A worker that fails all that it starts must get few runs while others are
+// free, so that it does not use up the attempts of many jobs.
+TEST(SchedulerTest, WorkerThatFailsEverythingGetsFewRuns) {
+  SchedulerHarness Harness;
+  for (int I = 0; I < 8; ++I)
+    Harness.addWorker("w" + std::to_string(I));
+  size_t OnFaulty = 0;
+  std::multimap<absl::Time, StartOrder> Ends;
+  for (int Tick = 0; Tick < 200; ++Tick) {
+    absl::Time Now = Harness.Exec.now();
+    if (Tick % 2 == 0)
+      Harness.addJob(Harness.makeJob("j" + std::to_string(Tick), 8, 1));
+    while (!Ends.empty() && Ends.begin()->first <= Now) {
+      StartOrder Order = Ends.begin()->second;
+      Ends.erase(Ends.begin());
+      bool IsFaulty = Order.Worker == WorkerId("w0");
+      OnFaulty += IsFaulty ? 1 : 0;
+      Harness.reportEnd(Order,
+                        IsFaulty ? RunOutcome::Failed : RunOutcome::Done);
+    }
+    for (const StartOrder &Order : Harness.planAndAccept().Starts)
+      Ends.emplace(Now + absl::Seconds(1), Order);
+    Harness.Exec.advance(absl::Milliseconds(100));
+  }
+  // Of 800 tasks in 20 s: two full loads before the first rest, then one run
+  // after each of the rests of 2, 4 and 8 s.
+  EXPECT_LE(OnFaulty, 2U * 8U + 3U);
+}
+
 // Guards against a second run of a task while its worker is only unreachable:
 // the tasks are placed again once the lease of the worker has expired.
 TEST(SchedulerTest, LostWorkerReturnsItsTasks) {
