Show a job as begun only when a worker has confirmed a run

Cause: a job moved from queued to running, and that was recorded, when its start order was about to be sent. Evidence: the new tests show the state after each kind of refusal and after orders without an answer.

Ruled out: the age of the published count (written within a second); taking the state back after a refusal (wrong between order and answer, and for good after a takeover in between).

Now the state changes when a worker accepts a start, or lists a run or an end. A successor never used the state to tell whether there may be runs: it waits for all recorded workers for jobs in either state, which JobThatIsRecordedAsWaitingMayHaveRuns shows.

Tests, failed before: JobWaitsUntilAWorkerHasAcceptedAStart, GangWaitsUntilAMemberIsAccepted, JobsWhoseStartsFailCountAsWaiting. The other two new ones guard against the opposite fault and passed before.

--- a/libs/control/src/LeaderTaskImpl.cpp
+++ b/libs/control/src/LeaderTaskImpl.cpp
@@ -205,6 +205,8 @@
 void LeaderTask::Term::startAnswered(const StartOrder &Order,
                                      OrderAnswer Answer) {
   this->JobScheduler.startAnswered(Order, Answer, this->now());
+  if (this->JobScheduler.hasChanges())
+    this->Writer->requestWrite();
   if (Answer != OrderAnswer::Accepted)
     this->requestPlan();
 }
--- a/libs/control/tests/LeaderTaskTest.cpp
+++ b/libs/control/tests/LeaderTaskTest.cpp
@@ -187,6 +187,64 @@
   EXPECT_EQ(Waiting, 1);
 }
 
+// Guards against jobs that count as begun because a start order was sent: every
+// host shows them as waiting while workers refuse or cannot be reached.
+TEST_F(LeaderTaskTest, JobsWhoseStartsFailCountAsWaiting) {
+  for (OrderFault Kind : {OrderFault::Unreachable, OrderFault::Drop}) {
+    SCOPED_TRACE(static_cast<int>(Kind));
+    this->Cluster.Farm.Faults = [Kind](const std::string &Call,
+                                       const WorkerId &) {
+      return Call == "start" ? Kind : OrderFault::None;
+    };
+    std::string Job = Kind == OrderFault::Drop ? "00000000000000aa" : Id;
+    this->Cluster.submit(this->host("a"), Job, this->Cluster.job(2, 8));
+    this->Cluster.runFor(absl::Seconds(5));
+    for (const char *Name : {"a", "b"}) {
+      int64_t Waiting = -1;
+      this->host(Name).QueueJobs->countWaitingJobs(
+          this->Cluster.caller(""),
+          [&](absl::StatusOr<int64_t> Count) { Waiting = *Count; });
+      this->Cluster.runFor(absl::Milliseconds(100));
+      EXPECT_EQ(Waiting, 1) << "host " << Name;
+      EXPECT_EQ(*this->Cluster.state(this->host(Name), Job),
+                BatchState::Queued);
+    }
+    this->Cluster.Farm.Faults = nullptr;
+    this->Cluster.runFor(absl::Seconds(8));
+    EXPECT_EQ(*this->Cluster.state(this->host("a"), Job), BatchState::Done);
+  }
+}
+
+// Guards against a successor that takes a job for one without runs because its
+// record still says that it waits: the leader died before it could record that
+// a worker had accepted the start, and the successor cannot reach the worker.
+TEST_F(LeaderTaskTest, JobThatIsRecordedAsWaitingMayHaveRuns) {
+  FakeWorkerFarm &Farm = this->Cluster.Farm;
+  Farm.Durations = [](const TaskKey &) { return absl::Seconds(60); };
+  this->Cluster.submit(this->standby(), Id, this->Cluster.job(1, 8));
+  Farm.Faults = [this](const std::string &Call, const WorkerId &) {
+    if (Call == "start")
+      this->Cluster.Store.Faults = [](const std::string &StoreCall) {
+        return StoreCall == "commit" ? StoreFault::Refuse : StoreFault::None;
+      };
+    return OrderFault::None;
+  };
+  this->Cluster.runFor(absl::Seconds(1));
+  ASSERT_EQ(Farm.StartedRuns.size(), 1U);
+  ASSERT_EQ(*this->Cluster.state(this->host("a"), Id), BatchState::Queued);
+  WorkerId Unreachable = Farm.StartedRuns[0].Worker;
+  Farm.Faults = [Unreachable](const std::string &, const WorkerId &Worker) {
+    return Worker == Unreachable ? OrderFault::Drop : OrderFault::None;
+  };
+  this->Cluster.killHost(this->Cluster.leaderName());
+  this->Cluster.Store.Faults = nullptr;
+  this->Cluster.runFor(absl::Seconds(20));
+  ASSERT_EQ(Farm.StartedRuns.size(), 2U);
+  ASSERT_EQ(Farm.EndedRuns.size(), 1U);
+  EXPECT_EQ(Farm.EndedRuns[0].Outcome, RunOutcome::LeaseExpired);
+  EXPECT_GE(Farm.StartedRuns[1].At, Farm.EndedRuns[0].At);
+}
+
 // Guards against records of finished jobs that fill the store.
 TEST_F(LeaderTaskTest, FinishedJobsAreDeletedAfterTheRetentionTime) {
   this->Cluster.submit(this->host("a"), Id, this->Cluster.job(1, 1));
--- a/libs/fleet/include/fleet/BatchState.h
+++ b/libs/fleet/include/fleet/BatchState.h
@@ -7,9 +7,10 @@
 
 /// State of a job as callers see it.
 enum class BatchState {
-  /// Accepted; no task has started.
+  /// Accepted; no worker has confirmed a run. The leader that sent a start order
+  /// may have died before it recorded the answer, so there may be runs.
   Queued,
-  /// A task has started.
+  /// A worker has accepted a start or has reported a run.
   Running,
   /// All tasks are done.
   Done,
--- a/libs/scheduler/src/JobTable.cpp
+++ b/libs/scheduler/src/JobTable.cpp
@@ -85,6 +85,13 @@
     this->UrgentDemand[Entry.Job.Account] -= Entry.Job.maxAcceleratorsPerStep();
 }
 
+void JobTable::markBegun(JobEntry &Entry) {
+  if (Entry.Progress.State != BatchState::Queued)
+    return;
+  Entry.Progress.State = BatchState::Running;
+  Entry.IsDirty = true;
+}
+
 int64_t JobTable::urgentDemand(const ClientAccountId &Account) const {
   auto Found = this->UrgentDemand.find(Account);
   return Found == this->UrgentDemand.end() ? 0 : Found->second;
--- a/libs/scheduler/src/JobTable.h
+++ b/libs/scheduler/src/JobTable.h
@@ -29,6 +29,9 @@
   /// Marks one task, or all members of its gang, as done. Marks the steps that
   /// become ready, and finishes the job with its last step.
   void markDone(JobEntry &Entry, const TaskKey &Task, absl::Time Now);
+  /// Moves a queued job to the running state: a worker has accepted a start or
+  /// has reported a run. A start order alone proves nothing.
+  static void markBegun(JobEntry &Entry);
   /// Moves the job to a final state. Does nothing if it is in one.
   void finish(JobEntry &Entry, BatchState State, absl::Time Now);
 
--- a/libs/scheduler/src/SchedulerPlan.cpp
+++ b/libs/scheduler/src/SchedulerPlan.cpp
@@ -245,10 +245,6 @@
   for (RunRecord *Run : Group) {
     this->Fleet.beginStart(*Run, Now);
     JobEntry &Entry = *this->Jobs.find(Run->Task.Job);
-    if (Entry.Progress.State == BatchState::Queued) {
-      Entry.Progress.State = BatchState::Running;
-      Entry.IsDirty = true;
-    }
     const StepEntry &Step = Entry.step(Run->Task.Occurrence, Run->Task.Step);
     Round.Starts.push_back({Run->Worker->Registration.Id, Run->Task, Run->Run,
                             Entry.Job.Specification,
--- a/libs/scheduler/src/SchedulerReports.cpp
+++ b/libs/scheduler/src/SchedulerReports.cpp
@@ -150,12 +150,9 @@
       !Entry->Progress.contains(End.Task.Occurrence, End.Task.Step,
                                 End.Task.Index))
     return;
-  // An earlier leader may have started the job and lost its role before it
-  // recorded that.
-  if (Entry->Progress.State == BatchState::Queued) {
-    Entry->Progress.State = BatchState::Running;
-    Entry->IsDirty = true;
-  }
+  // The answer to the start may have been lost, or gone to an earlier leader
+  // that did not record it.
+  JobTable::markBegun(*Entry);
   if (!End.Checkpoint.empty()) {
     Entry->attemptProgress(End.Task).Checkpoint = End.Checkpoint;
     Entry->IsDirty = true;
@@ -183,6 +180,8 @@
   RunRecord *Run = this->Fleet.runOf(Reported.Task);
   if (Run && Run->Worker == &Worker && Run->Run == Reported.Run) {
     Run->IsUncertain = false;
+    if (Entry)
+      JobTable::markBegun(*Entry);
     // A worker that restarted after it accepted the stop has lost it.
     bool IsStopForgotten =
         Run->IsStopAccepted &&
@@ -228,10 +227,7 @@
   ++Entry->step(Reported.Task.Occurrence, Reported.Task.Step).ActiveTasks;
   if (!Reported.Checkpoint.empty())
     Entry->attemptProgress(Reported.Task).Checkpoint = Reported.Checkpoint;
-  if (Entry->Progress.State == BatchState::Queued) {
-    Entry->Progress.State = BatchState::Running;
-    Entry->IsDirty = true;
-  }
+  JobTable::markBegun(*Entry);
 }
 
 /// Removes the runs that a report proves to be over: the report was requested
@@ -324,6 +320,8 @@
     Run->IsUncertain = false;
     if (Run->Phase == RunPhase::Starting)
       Run->Phase = RunPhase::Running;
+    if (JobEntry *Entry = I.Jobs.find(Order.Task.Job))
+      JobTable::markBegun(*Entry);
     return;
   }
   WorkerState &Worker = *Run->Worker;
--- a/libs/scheduler/tests/SchedulerTest.cpp
+++ b/libs/scheduler/tests/SchedulerTest.cpp
@@ -98,6 +98,72 @@
   EXPECT_EQ(Next.Starts.size(), 0U);
 }
 
+// Guards against jobs that are shown as running, and left out of the number of
+// waiting jobs, although no worker has accepted a start.
+TEST(SchedulerTest, JobWaitsUntilAWorkerHasAcceptedAStart) {
+  for (OrderAnswer Refusal :
+       {OrderAnswer::Unavailable, OrderAnswer::NoRoom, OrderAnswer::TooLate,
+        OrderAnswer::WrongIncarnation, OrderAnswer::Unknown}) {
+    SCOPED_TRACE(OrderAnswerNames.nameOf(Refusal));
+    SchedulerHarness Harness;
+    Harness.addWorker("w1");
+    Harness.addWorker("w2");
+    Harness.addJob(Harness.makeJob("j1", 1, 8));
+    Orders Refused = Harness.Sched.plan(Harness.Exec.now());
+    ASSERT_EQ(Refused.Starts.size(), 1U);
+    EXPECT_EQ(Harness.Sched.waitingJobsByQueue()["q"], 1);
+    Harness.Sched.startAnswered(Refused.Starts[0], Refusal, Harness.Exec.now());
+    EXPECT_EQ(Harness.Sched.waitingJobsByQueue()["q"], 1);
+    EXPECT_EQ(Harness.takeRecord("j1").find("\"running\""), std::string::npos);
+    Harness.Exec.advance(absl::Seconds(2));
+    Harness.Sched.workerLeaseExpired(Refused.Starts[0].Worker);
+    ASSERT_EQ(Harness.planAndAccept().Starts.size(), 1U);
+    EXPECT_EQ(Harness.Sched.waitingJobsByQueue()["q"], 0);
+    EXPECT_NE(Harness.takeRecord("j1").find("\"running\""), std::string::npos);
+  }
+}
+
+// A report may be the first sign of a run whose start was not answered.
+TEST(SchedulerTest, ReportedRunOfAnUnansweredStartShowsThatTheJobHasBegun) {
+  SchedulerHarness Harness;
+  WorkerRegistration Worker = Harness.addWorker("w1");
+  Harness.addJob(Harness.makeJob("j1", 1, 8));
+  Orders Round = Harness.Sched.plan(Harness.Exec.now());
+  ASSERT_EQ(Round.Starts.size(), 1U);
+  WorkerReport Report;
+  Report.Incarnation = 1;
+  Report.Running.push_back({Round.Starts[0].Task, Round.Starts[0].Run, ""});
+  Harness.Sched.reportReceived(Worker.Id, Report, Harness.Exec.now(),
+                               Harness.Exec.now());
+  EXPECT_EQ(Harness.Sched.waitingJobsByQueue()["q"], 0);
+  EXPECT_NE(Harness.takeRecord("j1").find("\"running\""), std::string::npos);
+}
+
+// A gang of which one member was accepted has begun; a gang of which none was
+// has not.
+TEST(SchedulerTest, GangWaitsUntilAMemberIsAccepted) {
+  SchedulerHarness Harness;
+  Harness.addWorker("w1");
+  Harness.addWorker("w2");
+  BatchJob Job = Harness.makeJob("j1", 2, 8);
+  Job.Steps[0].IsGang = true;
+  Harness.addJob(Job);
+  Orders First = Harness.Sched.plan(Harness.Exec.now());
+  ASSERT_EQ(First.Starts.size(), 2U);
+  for (const StartOrder &Order : First.Starts)
+    Harness.Sched.startAnswered(Order, OrderAnswer::Unavailable,
+                                Harness.Exec.now());
+  EXPECT_EQ(Harness.Sched.waitingJobsByQueue()["q"], 1);
+  Harness.Exec.advance(absl::Seconds(2));
+  Orders Second = Harness.Sched.plan(Harness.Exec.now());
+  ASSERT_EQ(Second.Starts.size(), 2U);
+  Harness.Sched.startAnswered(Second.Starts[0], OrderAnswer::Accepted,
+                              Harness.Exec.now());
+  Harness.Sched.startAnswered(Second.Starts[1], OrderAnswer::Unavailable,
+                              Harness.Exec.now());
+  EXPECT_EQ(Harness.Sched.waitingJobsByQueue()["q"], 0);
+}
+
 // A worker may report only one member as done: that completes the whole gang.
 TEST(SchedulerTest, DoneMemberCompletesTheGang) {
   SchedulerHarness Harness;
