Log why a job without a run waits, and count waiting tasks by reason

The users saw accepted jobs with nothing running while there was room; no log line said why.

`job waits` names the reason (reports, headroom, locality, room) and the number of workers that each cause excludes; a job without a run gets it after 1.5 s, then each time that its wait has doubled. The gauge vanillayard_waiting_tasks counts ready tasks by reason. Placement is unchanged.

Tests: WaitingJobIsLoggedWithItsReason, JobThatWaitsForReportsIsLogged.

--- a/libs/control/include/control/LeaderTask.h
+++ b/libs/control/include/control/LeaderTask.h
@@ -4,6 +4,7 @@
 #include "base/Executor.h"
 #include "control/LeaderOptions.h"
 #include "control/LeaderRoleListener.h"
+#include "scheduler/WaitReason.h"
 
 #include <cstddef>
 #include <map>
@@ -53,6 +54,9 @@
   size_t workerCount() const;
   /// Number of jobs without a schedule that have not started, by queue.
   std::map<std::string, int64_t> waitingJobsByQueue() const;
+  /// Number of ready tasks without a run, by reason; reasons with none may be
+  /// left out.
+  std::map<WaitReason, int64_t> waitingTasksByReason() const;
 
   class Term;
 
--- a/libs/control/src/LeaderTask.cpp
+++ b/libs/control/src/LeaderTask.cpp
@@ -76,6 +76,11 @@
                        : std::map<std::string, int64_t>();
 }
 
+std::map<WaitReason, int64_t> LeaderTask::waitingTasksByReason() const {
+  return this->Current ? this->Current->waitingTasksByReason()
+                       : std::map<WaitReason, int64_t>();
+}
+
 size_t LeaderTask::workerCount() const {
   return this->Current ? this->Current->workerCount() : 0;
 }
--- a/libs/control/src/LeaderTaskImpl.h
+++ b/libs/control/src/LeaderTaskImpl.h
@@ -46,6 +46,10 @@
     return this->JobScheduler.waitingJobsByQueue();
   }
 
+  std::map<WaitReason, int64_t> waitingTasksByReason() const {
+    return this->JobScheduler.waitingTasksByReason();
+  }
+
   // WorkerDriver::Owner
   absl::Duration maxWorkerLease() const override;
   bool mayStart(const StartOrder &Order) const override;
--- a/libs/fleethost/src/FleetHost.cpp
+++ b/libs/fleethost/src/FleetHost.cpp
@@ -176,6 +176,13 @@
     this->setGauge("vanillayard_waiting_jobs",
                    "jobs without a schedule that have not started, by queue",
                    static_cast<double>(Count), {{"queue", Queue}});
+  std::map<WaitReason, int64_t> Waiting = this->Leader.waitingTasksByReason();
+  for (WaitReason Reason : {WaitReason::Reports, WaitReason::Headroom,
+                            WaitReason::Locality, WaitReason::Room})
+    this->setGauge("vanillayard_waiting_tasks",
+                   "ready tasks without a run, by reason",
+                   static_cast<double>(Waiting[Reason]),
+                   {{"reason", std::string(WaitReasonNames.nameOf(Reason))}});
   this->setConfigurationGauges();
   this->setProcessGauges();
   HttpResponse Answer;
--- a/libs/scheduler/include/scheduler/Scheduler.h
+++ b/libs/scheduler/include/scheduler/Scheduler.h
@@ -10,6 +10,7 @@
 #include "scheduler/Orders.h"
 #include "scheduler/ProgressChange.h"
 #include "scheduler/SchedulerSettings.h"
+#include "scheduler/WaitReason.h"
 
 #include "absl/time/time.h"
 
@@ -119,6 +120,8 @@
 
   /// Number of jobs without a schedule that have not started, by queue.
   std::map<std::string, int64_t> waitingJobsByQueue() const;
+  /// Number of ready tasks that the last plan() left without a run, by reason.
+  const std::map<WaitReason, int64_t> &waitingTasksByReason() const;
   size_t jobCount() const;
 
   class Impl;
--- a/libs/scheduler/src/JobEntry.h
+++ b/libs/scheduler/src/JobEntry.h
@@ -43,6 +43,8 @@
   /// When the scheduler moved the job to its final state; InfiniteFuture until
   /// then.
   absl::Time FinishedAt = absl::InfiniteFuture();
+  /// Wait that was last logged for the job.
+  absl::Duration ReportedWait;
   /// Worker on which the last reported failure of a task happened.
   absl::flat_hash_map<TaskKey, WorkerId> FailedOn;
 
@@ -51,6 +53,11 @@
         ->Steps[static_cast<size_t>(Occurrence) * this->Job.Steps.size() +
                 static_cast<size_t>(Step)];
   }
+  /// Tasks of the step that are neither done nor have a run.
+  int waitingTasks(int Occurrence, int Step) {
+    const StepEntry &State = this->step(Occurrence, Step);
+    return this->spec(Step).TaskCount - State.DoneTasks - State.ActiveTasks;
+  }
   bool hasRuns() const {
     return std::any_of(
         this->Steps.begin(), this->Steps.end(),
--- a/libs/scheduler/src/PlacementSearch.cpp
+++ b/libs/scheduler/src/PlacementSearch.cpp
@@ -41,6 +41,16 @@
          Placement.placedOn(Worker) == 0;
 }
 
+/// Whether the worker could take the step's tasks if it were empty.
+static bool isSuitable(const BatchStep &Step,
+                       const WorkerRegistration &Registration) {
+  if (!Step.PerTask.fitsIn(Registration.Capacity))
+    return false;
+  return Step.RequiredLabel.empty() ||
+         std::find(Registration.Labels.begin(), Registration.Labels.end(),
+                   Step.RequiredLabel) != Registration.Labels.end();
+}
+
 bool PlacementSearch::isEligible(const PlacementRequest &Request,
                                  const WorkerState &Worker,
                                  const TentativePlacement &Placement) const {
@@ -50,11 +60,7 @@
       Registration.WorkerPool != Request.Entry->Job.WorkerPool ||
       Worker.RefusedUntil > Request.Now ||
       !isWithinRunLimit(Request, Worker, Placement) ||
-      !Step.PerTask.fitsIn(Registration.Capacity))
-    return false;
-  if (!Step.RequiredLabel.empty() &&
-      std::find(Registration.Labels.begin(), Registration.Labels.end(),
-                Step.RequiredLabel) == Registration.Labels.end())
+      !isSuitable(Step, Registration))
     return false;
   if (Step.MaxPerWorker == 0)
     return true;
@@ -300,44 +306,71 @@
          Step.Estimate;
 }
 
-std::optional<TentativePlacement>
-PlacementSearch::findForGang(const PlacementRequest &Request) {
+PlacementOutcome PlacementSearch::findForGang(const PlacementRequest &Request) {
   const BatchStep &Step = Request.spec();
   bool WantsOneRack = Step.PrefersSameRack || !Step.DataRack.empty();
   if (WantsOneRack && this->fitsInOneRack(Request)) {
     if (std::optional<TentativePlacement> Placement =
             this->placeInBestRack(Request, false))
-      return Placement;
+      return {std::move(Placement)};
     if (Request.MayPreempt)
       if (std::optional<TentativePlacement> Placement =
               this->placeInBestRack(Request, true))
-        return Placement;
+        return {std::move(Placement)};
     if (Request.waited() < this->maxLocalityWait(Step) && !Request.MayPreempt)
-      return std::nullopt;
+      return {std::nullopt, WaitReason::Locality};
   }
   if (std::optional<TentativePlacement> Placement =
           this->placeGang(Request, {}))
-    return Placement;
+    return {std::move(Placement)};
   if (!Request.MayPreempt)
-    return std::nullopt;
-  return this->placeGang(Request, {RackId(), true});
+    return {};
+  return {this->placeGang(Request, {RackId(), true})};
 }
 
-std::optional<TentativePlacement>
-PlacementSearch::findForTask(const PlacementRequest &Request, int Index) {
+PlacementOutcome PlacementSearch::findForTask(const PlacementRequest &Request,
+                                              int Index) {
   const BatchStep &Step = Request.spec();
   TentativePlacement Placement;
   if (!Step.DataRack.empty()) {
     SearchScope DataRackOnly{Step.DataRack, Request.MayPreempt};
     if (this->placeTask(Request, Index, DataRackOnly, Placement))
-      return Placement;
+      return {std::move(Placement)};
     if (Request.waited() < this->maxLocalityWait(Step) && !Request.MayPreempt)
-      return std::nullopt;
+      return {std::nullopt, WaitReason::Locality};
   }
   if (this->placeTask(Request, Index, {RackId(), Request.MayPreempt},
                       Placement))
-    return Placement;
-  return std::nullopt;
+    return {std::move(Placement)};
+  return {};
+}
+
+WorkerExclusions
+PlacementSearch::exclusions(const PlacementRequest &Request) const {
+  WorkerExclusions Counts;
+  const BatchStep &Step = Request.spec();
+  for (const WorkerState *Worker : this->Fleet.workers()) {
+    const WorkerRegistration &Registration = Worker->Registration;
+    if (Registration.WorkerPool != Request.Entry->Job.WorkerPool)
+      ++Counts.OtherPool;
+    else if (!Worker->IsUsable)
+      ++Counts.NotUsable;
+    else if (Registration.IsDraining)
+      ++Counts.Draining;
+    else if (!isSuitable(Step, Registration))
+      ++Counts.Unsuitable;
+    else if (!isWithinRunLimit(Request, *Worker, TentativePlacement()))
+      ++Counts.Limited;
+    else if (Worker->RefusedUntil > Request.Now)
+      ++Counts.Refused;
+    else if (!this->isEligible(Request, *Worker, TentativePlacement()))
+      ++Counts.StepLimit;
+    else if (!Step.PerTask.fitsIn(Worker->free()))
+      ++Counts.Full;
+    else
+      ++Counts.Free;
+  }
+  return Counts;
 }
 
 } // namespace vanillayard
--- a/libs/scheduler/src/PlacementSearch.h
+++ b/libs/scheduler/src/PlacementSearch.h
@@ -3,8 +3,9 @@
 
 #include "FleetState.h"
 #include "JobTable.h"
+#include "PlacementOutcome.h"
 #include "PlacementRequest.h"
-#include "TentativePlacement.h"
+#include "WorkerExclusions.h"
 #include "scheduler/SchedulerSettings.h"
 
 #include "absl/container/flat_hash_map.h"
@@ -31,12 +32,12 @@
   /// Number of guaranteed accelerators, by client account.
   absl::flat_hash_map<ClientAccountId, int64_t> Guarantees;
 
-  /// Returns workers for all tasks of a gang, or nullopt if no choice fits.
-  std::optional<TentativePlacement>
-  findForGang(const PlacementRequest &Request);
-  /// Returns a worker for one task, or nullopt if no choice fits.
-  std::optional<TentativePlacement> findForTask(const PlacementRequest &Request,
-                                                int Index);
+  /// Finds workers for all tasks of a gang.
+  PlacementOutcome findForGang(const PlacementRequest &Request);
+  /// Finds a worker for one task.
+  PlacementOutcome findForTask(const PlacementRequest &Request, int Index);
+  /// Counts the workers that cannot take a task of the step now, by reason.
+  WorkerExclusions exclusions(const PlacementRequest &Request) const;
 
   /// True if the account has a guarantee and its urgent demand does not exceed
   /// it.
--- a/libs/scheduler/src/Scheduler.cpp
+++ b/libs/scheduler/src/Scheduler.cpp
@@ -141,6 +141,10 @@
   return this->Implementation->Jobs.waitingJobsByQueue();
 }
 
+const std::map<WaitReason, int64_t> &Scheduler::waitingTasksByReason() const {
+  return this->Implementation->WaitingTasks;
+}
+
 size_t Scheduler::jobCount() const {
   return this->Implementation->Jobs.all().size();
 }
--- a/libs/scheduler/src/SchedulerImpl.h
+++ b/libs/scheduler/src/SchedulerImpl.h
@@ -10,6 +10,8 @@
 
 #include "absl/container/flat_hash_map.h"
 
+#include <map>
+#include <optional>
 #include <vector>
 
 namespace vanillayard {
@@ -41,7 +43,10 @@
   void limitFaultyWorkers(absl::Time Now);
   std::vector<ReadyStep> readySteps(absl::Time Now);
   bool leavesHeadroom(const PlacementRequest &Request, int Tasks) const;
-  void placeStep(const ReadyStep &Ready, absl::Time Now);
+  void countAwaitingReports(JobEntry &Entry, absl::Time Now);
+  void placeReadyStep(const ReadyStep &Ready, absl::Time Now);
+  std::optional<WaitReason> placeStep(const PlacementRequest &Request);
+  void reportWait(const PlacementRequest &Request, WaitReason Reason);
   void reserve(const PlacementRequest &Request, const std::vector<int> &Indexes,
                const TentativePlacement &Placement);
   void launchReservedGroups(absl::Time Now, Orders &Round);
@@ -75,6 +80,8 @@
   /// All runs of earlier leaders are known; set by finishRecovery().
   bool IsRecovered = false;
   bool HasWaitingWork = false;
+  /// Ready tasks that the last plan() left without a run.
+  std::map<WaitReason, int64_t> WaitingTasks;
 };
 
 } // namespace vanillayard
--- a/libs/scheduler/src/SchedulerPlan.cpp
+++ b/libs/scheduler/src/SchedulerPlan.cpp
@@ -29,6 +29,9 @@
 /// platform accepts that a job has no run while there is room for it.
 static constexpr absl::Duration MaxVoluntaryWait = absl::Seconds(2);
 
+/// Wait of a job without a run from which the reason is logged.
+static constexpr absl::Duration FirstWaitReport = absl::Milliseconds(1500);
+
 /// Expected end of a job relative to its latency objective. Jobs with lower
 /// values are placed first.
 enum class ExpectedLateness { OnTime, Late, TooLate };
@@ -88,13 +91,32 @@
   }
 }
 
+/// Counts the ready tasks of a job that waits for the reports of workers, and
+/// logs the wait if it has no run.
+void Scheduler::Impl::countAwaitingReports(JobEntry &Entry, absl::Time Now) {
+  auto StepCount = static_cast<int>(Entry.Job.Steps.size());
+  for (int P = 0; P < static_cast<int>(Entry.Steps.size()); ++P) {
+    PlacementRequest Request{&Entry, P / StepCount, P % StepCount, Now};
+    int Waiting = Entry.waitingTasks(Request.Occurrence, Request.Step);
+    if (Waiting == 0 || Request.waited() < absl::ZeroDuration())
+      continue;
+    this->WaitingTasks[WaitReason::Reports] += Waiting;
+    if (!Entry.hasRuns())
+      this->reportWait(Request, WaitReason::Reports);
+  }
+}
+
 std::vector<Scheduler::Impl::ReadyStep>
 Scheduler::Impl::readySteps(absl::Time Now) {
   std::vector<ReadyStep> Ready;
   for (const auto &[Id, Entry] : this->Jobs.all()) {
     const BatchJob &Job = Entry->Job;
-    if (isFinal(Entry->Progress.State) || Entry->AwaitsReports)
+    if (isFinal(Entry->Progress.State))
+      continue;
+    if (Entry->AwaitsReports) {
+      this->countAwaitingReports(*Entry, Now);
       continue;
+    }
     absl::Duration Objective =
         Job.Stretch * Job.criticalPathDuration() + Job.TargetLatency;
     bool IsGuaranteed =
@@ -190,41 +212,84 @@
   return static_cast<double>(Free - Need) >= Headroom;
 }
 
-void Scheduler::Impl::placeStep(const ReadyStep &Ready, absl::Time Now) {
-  JobEntry &Entry = *Ready.Entry;
-  PlacementRequest Request{&Entry,
-                           Ready.Occurrence,
-                           Ready.Step,
-                           Now,
-                           Entry.Job.Priority == 0,
-                           Ready.IsGuaranteed,
-                           Ready.IsOverdue};
+/// Places the waiting tasks of the step.
+/// \returns why tasks are left; nullopt if none is.
+std::optional<WaitReason>
+Scheduler::Impl::placeStep(const PlacementRequest &Request) {
+  JobEntry &Entry = *Request.Entry;
   int Count = Request.spec().TaskCount;
   if (Request.spec().IsGang) {
     std::vector<int> All(static_cast<size_t>(Count));
     std::iota(All.begin(), All.end(), 0);
     if (!this->leavesHeadroom(Request, Count))
-      return;
-    if (std::optional<TentativePlacement> Placement =
-            this->Search.findForGang(Request))
-      this->reserve(Request, All, *Placement);
-    return;
+      return WaitReason::Headroom;
+    PlacementOutcome Found = this->Search.findForGang(Request);
+    if (!Found.Placement)
+      return Found.Reason;
+    this->reserve(Request, All, *Found.Placement);
+    return std::nullopt;
   }
   for (int I = 0; I < Count; ++I) {
     bool IsWaiting =
-        !Entry.Progress.task(Ready.Occurrence, Ready.Step, I).IsDone &&
+        !Entry.Progress.task(Request.Occurrence, Request.Step, I).IsDone &&
         !this->Fleet.runOf(Request.key(I));
     if (!IsWaiting)
       continue;
     if (!this->leavesHeadroom(Request, 1))
-      return;
-    std::optional<TentativePlacement> Placement =
-        this->Search.findForTask(Request, I);
+      return WaitReason::Headroom;
+    PlacementOutcome Found = this->Search.findForTask(Request, I);
     // All tasks of a step need the same, so the next one does not fit either.
-    if (!Placement)
-      return;
-    this->reserve(Request, {I}, *Placement);
+    if (!Found.Placement)
+      return Found.Reason;
+    this->reserve(Request, {I}, *Found.Placement);
   }
+  return std::nullopt;
+}
+
+void Scheduler::Impl::placeReadyStep(const ReadyStep &Ready, absl::Time Now) {
+  JobEntry &Entry = *Ready.Entry;
+  PlacementRequest Request{&Entry,
+                           Ready.Occurrence,
+                           Ready.Step,
+                           Now,
+                           Entry.Job.Priority == 0,
+                           Ready.IsGuaranteed,
+                           Ready.IsOverdue};
+  std::optional<WaitReason> Reason = this->placeStep(Request);
+  if (!Reason)
+    return;
+  this->WaitingTasks[*Reason] +=
+      Entry.waitingTasks(Ready.Occurrence, Ready.Step);
+  if (!Entry.hasRuns())
+    this->reportWait(Request, *Reason);
+}
+
+/// Logs why a job without a run waits: first after FirstWaitReport, then each
+/// time that its wait has doubled.
+void Scheduler::Impl::reportWait(const PlacementRequest &Request,
+                                 WaitReason Reason) {
+  JobEntry &Entry = *Request.Entry;
+  if (Request.waited() < std::max(FirstWaitReport, 2 * Entry.ReportedWait))
+    return;
+  Entry.ReportedWait = Request.waited();
+  WorkerExclusions Workers = this->Search.exclusions(Request);
+  this->Events.write(LogLevel::Info, "scheduler", "job waits",
+                     {{"job", Entry.Job.Id},
+                      {"step", Request.Step},
+                      {"occurrence", Request.Occurrence},
+                      {"waited", Request.waited()},
+                      {"reason", WaitReasonNames.nameOf(Reason)},
+                      {"data_rack", Request.spec().DataRack},
+                      {"free", Workers.Free},
+                      {"full", Workers.Full},
+                      {"not_usable", Workers.NotUsable},
+                      {"draining", Workers.Draining},
+                      {"limited", Workers.Limited},
+                      {"refused", Workers.Refused},
+                      {"step_limit", Workers.StepLimit},
+                      {"unsuitable", Workers.Unsuitable},
+                      {"other_pool", Workers.OtherPool}},
+                     fmt::format("waits: {}", Entry.Job.Id.str()));
 }
 
 bool Scheduler::Impl::hasCapacityNow(
@@ -314,10 +379,11 @@
   Impl &I = *this->Implementation;
   Orders Round;
   I.HasWaitingWork = false;
+  I.WaitingTasks.clear();
   I.limitFaultyWorkers(Now);
   I.launchReservedGroups(Now, Round);
   for (const Impl::ReadyStep &Ready : I.readySteps(Now))
-    I.placeStep(Ready, Now);
+    I.placeReadyStep(Ready, Now);
   I.launchReservedGroups(Now, Round);
   I.collectStops(Now, Round);
   I.HasWaitingWork |= !I.Reserved.empty() || !Round.Stops.empty();
--- a/libs/scheduler/tests/SchedulerHarness.h
+++ b/libs/scheduler/tests/SchedulerHarness.h
@@ -14,7 +14,10 @@
 class SchedulerHarness {
 public:
   explicit SchedulerHarness(SchedulerSettings Settings = {})
-      : Events(this->Exec, [](std::string_view) {}),
+      : Events(this->Exec,
+               [this](std::string_view Line) {
+                 this->LogLines.emplace_back(Line);
+               }),
         Sched(Settings, 1000, this->Events) {}
 
   WorkerRegistration addWorker(const std::string &Name,
@@ -92,6 +95,17 @@
     return Newest;
   }
 
+  /// Number of log lines that contain both texts.
+  int countLogLines(std::string_view First, std::string_view Second) const {
+    int Count = 0;
+    for (const std::string &Line : this->LogLines)
+      if (Line.find(First) != std::string::npos &&
+          Line.find(Second) != std::string::npos)
+        ++Count;
+    return Count;
+  }
+
+  std::vector<std::string> LogLines;
   VirtualExecutor Exec;
   Log Events;
   Scheduler Sched;
--- a/libs/scheduler/tests/SchedulerTest.cpp
+++ b/libs/scheduler/tests/SchedulerTest.cpp
@@ -702,3 +702,37 @@
                                Harness.Exec.now(), Harness.Exec.now());
   EXPECT_EQ(Harness.planAndAccept().Stops.size(), 1U);
 }
+
+// Guards against jobs that stand still without a line that says why. The
+// interval of the lines doubles, so that a long queue does not fill the log.
+TEST(SchedulerTest, WaitingJobIsLoggedWithItsReason) {
+  SchedulerHarness Harness;
+  Harness.addWorker("w1");
+  WorkerRegistration Draining = Harness.addWorker("w2");
+  Draining.IsDraining = true;
+  Harness.Sched.updateWorker(Draining);
+  Harness.addWorker("w3");
+  Harness.Sched.setUsable(WorkerId("w3"), false);
+  Harness.addJob(Harness.makeJob("first", 1, 8));
+  Harness.addJob(Harness.makeJob("second", 2, 8));
+  for (int I = 0; I < 130; ++I) {
+    Harness.planAndAccept();
+    Harness.Exec.advance(absl::Milliseconds(100));
+  }
+  EXPECT_EQ(Harness.Sched.waitingTasksByReason().at(WaitReason::Room), 2);
+  EXPECT_EQ(Harness.countLogLines("job waits", "job=second"), 4);
+  EXPECT_EQ(Harness.countLogLines("job waits", "reason=room"), 4);
+  EXPECT_EQ(Harness.countLogLines("full=1", "draining=1"), 4);
+  EXPECT_EQ(Harness.countLogLines("job waits", "not_usable=1"), 4);
+}
+
+TEST(SchedulerTest, JobThatWaitsForReportsIsLogged) {
+  SchedulerHarness Harness;
+  Harness.addWorker("w1");
+  BatchJob Job = Harness.makeJob("j1", 3, 1);
+  Harness.Sched.addJob(Job, JobProgress(Job), true, Harness.Exec.now());
+  Harness.Exec.advance(absl::Seconds(2));
+  Harness.planAndAccept();
+  EXPECT_EQ(Harness.countLogLines("job waits", "reason=reports"), 1);
+  EXPECT_EQ(Harness.Sched.waitingTasksByReason().at(WaitReason::Reports), 3);
+}
