Bound the wait of a job without a run for its data's rack

Shown without any disruption: rack r0 is full, the data of a task, or of a gang, is in r0, and two racks stand idle; the job started after its own estimate (7 s).

Cause: the wait for locality was half of the extra time of a remote run, which is the estimate itself at a slowdown of 3, whether the job had a run or not. A rack without any worker that could hold the task was waited for as well.

Ruled out: no wait at all (a remote run takes three times as long; tasks of a job that has a run still wait). Gangs that prefer one rack have the same bound.

Tests, failed before: JobWithoutARunDoesNotWaitLongForItsDataRack, GangDoesNotWaitLongForOneRack, TaskDoesNotWaitForAnEmptiedRack. OtherTasksOfTheJobWaitForTheirDataRack guards the locality that is kept.

--- a/libs/scheduler/src/PlacementSearch.cpp
+++ b/libs/scheduler/src/PlacementSearch.cpp
@@ -20,6 +20,10 @@
 /// a share of the time that running remotely would add.
 static constexpr double LocalityWaitShare = 0.5;
 
+/// How long a rack without a worker that could hold a task is expected to get
+/// one. A new leader knows its workers one after the other.
+static constexpr absl::Duration RackAbsenceGrace = absl::Milliseconds(500);
+
 static double coreEquivalents(const Resources &Need) {
   return static_cast<double>(Need.MilliCores) / 1000.0 +
          CoresPerAccelerator * static_cast<double>(Need.Accelerators);
@@ -301,9 +305,28 @@
   return false;
 }
 
-absl::Duration PlacementSearch::maxLocalityWait(const BatchStep &Step) const {
-  return LocalityWaitShare * (this->Settings.RemoteSlowdown - 1.0) *
-         Step.Estimate;
+bool PlacementSearch::canDataRackHold(const PlacementRequest &Request) const {
+  if (Request.waited() < RackAbsenceGrace)
+    return true;
+  const BatchStep &Step = Request.spec();
+  const std::vector<WorkerState *> &Workers = this->Fleet.workers();
+  return std::any_of(
+      Workers.begin(), Workers.end(), [&](const WorkerState *Worker) {
+        const WorkerRegistration &Registration = Worker->Registration;
+        return Registration.Rack == Step.DataRack && Worker->IsUsable &&
+               !Registration.IsDraining &&
+               Registration.WorkerPool == Request.Entry->Job.WorkerPool &&
+               isSuitable(Step, Registration);
+      });
+}
+
+bool PlacementSearch::mayWaitForLocality(
+    const PlacementRequest &Request) const {
+  absl::Duration Longest = LocalityWaitShare *
+                           (this->Settings.RemoteSlowdown - 1.0) *
+                           Request.spec().Estimate;
+  return !Request.MayPreempt && !Request.IsOverdue &&
+         Request.waited() < Longest;
 }
 
 PlacementOutcome PlacementSearch::findForGang(const PlacementRequest &Request) {
@@ -317,7 +340,7 @@
       if (std::optional<TentativePlacement> Placement =
               this->placeInBestRack(Request, true))
         return {std::move(Placement)};
-    if (Request.waited() < this->maxLocalityWait(Step) && !Request.MayPreempt)
+    if (this->mayWaitForLocality(Request))
       return {std::nullopt, WaitReason::Locality};
   }
   if (std::optional<TentativePlacement> Placement =
@@ -336,7 +359,7 @@
     SearchScope DataRackOnly{Step.DataRack, Request.MayPreempt};
     if (this->placeTask(Request, Index, DataRackOnly, Placement))
       return {std::move(Placement)};
-    if (Request.waited() < this->maxLocalityWait(Step) && !Request.MayPreempt)
+    if (this->mayWaitForLocality(Request) && this->canDataRackHold(Request))
       return {std::nullopt, WaitReason::Locality};
   }
   if (this->placeTask(Request, Index, {RackId(), Request.MayPreempt},
--- a/libs/scheduler/src/PlacementSearch.h
+++ b/libs/scheduler/src/PlacementSearch.h
@@ -76,9 +76,12 @@
   /// True if the total capacity of one rack can hold the gang, whatever is in
   /// use there now.
   bool fitsInOneRack(const PlacementRequest &Request) const;
-  /// How long a step waits for capacity near its data, or in one rack, before
-  /// it is placed anywhere.
-  absl::Duration maxLocalityWait(const BatchStep &Step) const;
+  /// True if a worker in the rack of the step's data can take a task of it once
+  /// it has room, or may still report.
+  bool canDataRackHold(const PlacementRequest &Request) const;
+  /// Whether a step without room near its data, or in one rack, waits for it
+  /// rather than run elsewhere.
+  bool mayWaitForLocality(const PlacementRequest &Request) const;
   std::vector<RackId> racksOfPool(const std::string &WorkerPool) const;
 
   FleetState &Fleet;
--- a/libs/scheduler/tests/SchedulerTest.cpp
+++ b/libs/scheduler/tests/SchedulerTest.cpp
@@ -736,3 +736,105 @@
   EXPECT_EQ(Harness.countLogLines("job waits", "reason=reports"), 1);
   EXPECT_EQ(Harness.Sched.waitingTasksByReason().at(WaitReason::Reports), 3);
 }
+
+/// Fills rack r0 with long tasks and returns how long \p Job, whose data is
+/// there, waits for its first start.
+static absl::Duration waitBesideAFullRack(BatchJob Job) {
+  SchedulerHarness Harness;
+  for (int I = 0; I < 12; ++I)
+    Harness.addWorker("w" + std::to_string(I), "r" + std::to_string(I / 4));
+  BatchJob Long = Harness.makeJob("long", 4, 8);
+  Long.Steps[0].DataRack = RackId("r0");
+  Harness.addJob(Long);
+  EXPECT_EQ(Harness.planAndAccept().Starts.size(), 4U);
+  Job.Submitted = Harness.Exec.now();
+  Harness.addJob(Job);
+  absl::Time Began = Harness.Exec.now();
+  while (Harness.Exec.now() < Began + absl::Seconds(60)) {
+    if (!Harness.planAndAccept().Starts.empty())
+      return Harness.Exec.now() - Began;
+    Harness.Exec.advance(absl::Milliseconds(100));
+  }
+  return absl::InfiniteDuration();
+}
+
+// Guards against a job that has nothing running for 3 s while two racks are
+// idle, because its data is in a third one that is full.
+TEST(SchedulerTest, JobWithoutARunDoesNotWaitLongForItsDataRack) {
+  SchedulerHarness Harness;
+  BatchJob Job = Harness.makeJob("near", 1, 8);
+  Job.Steps[0].Estimate = absl::Seconds(7);
+  Job.Steps[0].DataRack = RackId("r0");
+  absl::Duration Task = waitBesideAFullRack(Job);
+  EXPECT_GE(Task, absl::Seconds(1));
+  EXPECT_LT(Task, absl::Seconds(3));
+  Job.Steps[0].TaskCount = 4;
+  Job.Steps[0].IsGang = true;
+  EXPECT_LT(waitBesideAFullRack(Job), absl::Seconds(3));
+}
+
+// The same for a gang that prefers any one rack while none has room for it.
+TEST(SchedulerTest, GangDoesNotWaitLongForOneRack) {
+  SchedulerHarness Harness;
+  for (int I = 0; I < 12; ++I)
+    Harness.addWorker("w" + std::to_string(I), "r" + std::to_string(I / 4));
+  for (int I = 0; I < 3; ++I) {
+    BatchJob Long = Harness.makeJob("long" + std::to_string(I), 2, 8);
+    Long.Steps[0].DataRack = RackId("r" + std::to_string(I));
+    Harness.addJob(Long);
+  }
+  ASSERT_EQ(Harness.planAndAccept().Starts.size(), 6U);
+  BatchJob Gang = Harness.makeJob("gang", 3, 8);
+  Gang.Steps[0].Estimate = absl::Seconds(7);
+  Gang.Steps[0].IsGang = true;
+  Gang.Steps[0].PrefersSameRack = true;
+  Harness.addJob(Gang);
+  size_t Starts = 0;
+  for (int I = 0; I < 29; ++I) {
+    Starts += Harness.planAndAccept().Starts.size();
+    Harness.Exec.advance(absl::Milliseconds(100));
+  }
+  EXPECT_EQ(Starts, 3U);
+}
+
+// The other tasks of a job with a run wait longer, as a remote run takes three
+// times as long: they start when room comes in their rack.
+TEST(SchedulerTest, OtherTasksOfTheJobWaitForTheirDataRack) {
+  SchedulerHarness Harness;
+  Harness.addWorker("w0", "r0");
+  Harness.addWorker("w1", "r1");
+  BatchJob Job = Harness.makeJob("j1", 3, 8);
+  Job.Steps[0].Estimate = absl::Seconds(7);
+  Job.Steps[0].DataRack = RackId("r0");
+  Harness.addJob(Job);
+  std::vector<StartOrder> Started;
+  for (int I = 0; I < 50; ++I) {
+    for (const StartOrder &Order : Harness.planAndAccept().Starts)
+      Started.push_back(Order);
+    Harness.Exec.advance(absl::Milliseconds(100));
+  }
+  ASSERT_EQ(Started.size(), 1U);
+  Harness.reportEnd(Started[0], RunOutcome::Done);
+  Orders Next = Harness.planAndAccept();
+  ASSERT_GE(Next.Starts.size(), 1U);
+  EXPECT_EQ(Next.Starts[0].Worker, WorkerId("w0"));
+}
+
+// Guards against a wait for a rack that has no worker left to wait for: the
+// task starts elsewhere within a second.
+TEST(SchedulerTest, TaskDoesNotWaitForAnEmptiedRack) {
+  SchedulerHarness Harness;
+  WorkerRegistration Draining = Harness.addWorker("w0", "r0");
+  Draining.IsDraining = true;
+  Harness.Sched.updateWorker(Draining);
+  Harness.addWorker("w1", "r0");
+  Harness.Sched.setUsable(WorkerId("w1"), false);
+  Harness.addWorker("w2", "r1");
+  BatchJob Job = Harness.makeJob("j1", 2, 4);
+  Job.Steps[0].Estimate = absl::Hours(1);
+  Job.Steps[0].DataRack = RackId("r0");
+  Harness.addJob(Job);
+  Harness.planAndAccept();
+  Harness.Exec.advance(absl::Seconds(1));
+  EXPECT_EQ(Harness.planAndAccept().Starts.size(), 2U);
+}
