List the jobs again before a leader that kept its role starts anything

Cause: a leader was frozen when the job was cancelled, then kept its role through an outage of the store. It planned as soon as its key was written again, before the watch of the jobs had told it of the cancel.

Ruled out: an order carried out late (the log shows the plan after the key was rewritten); the cancel itself (it was recorded before it was answered).

Now such a leader lists the jobs first. The test, LeaderThatKeepsItsRoleReadsTheJobsFirst, failed before.

--- a/libs/control/src/LeaderTaskImpl.cpp
+++ b/libs/control/src/LeaderTaskImpl.cpp
@@ -146,15 +146,15 @@
 void LeaderTask::Term::watchJobs(int64_t Revision) {
   this->Links.Store.awaitChanges(
       std::string(RecordKeys::JobPrefix), Revision, WatchTime,
-      [Weak = this->weak_from_this(),
-       Revision](absl::StatusOr<StoreChanges> Result) {
+      [Weak = this->weak_from_this(), Revision,
+       Watch = this->JobWatch](absl::StatusOr<StoreChanges> Result) {
         std::shared_ptr<Term> Self = Weak.lock();
-        if (!Self || Self->IsEnded)
+        if (!Self || Self->IsEnded || Self->JobWatch != Watch)
           return;
         if (!Result.ok()) {
-          Self->Links.Exec.runAfter(RetryDelay, [Weak, Revision] {
+          Self->Links.Exec.runAfter(RetryDelay, [Weak, Revision, Watch] {
             std::shared_ptr<Term> Again = Weak.lock();
-            if (Again && !Again->IsEnded)
+            if (Again && !Again->IsEnded && Again->JobWatch == Watch)
               Again->watchJobs(Revision);
           });
           return;
@@ -170,23 +170,26 @@
       });
 }
 
-/// Lists all job records again after the store has discarded changes that the
-/// watch had not delivered yet.
+/// Lists all job records again, and watches them from there: after the store
+/// has discarded changes that the watch had not delivered yet, or after an
+/// outage.
 void LeaderTask::Term::relistJobs() {
   this->Links.Store.list(
       std::string(RecordKeys::JobPrefix),
-      [Weak = this->weak_from_this()](absl::StatusOr<StoreListing> Result) {
+      [Weak = this->weak_from_this(),
+       Watch = this->JobWatch](absl::StatusOr<StoreListing> Result) {
         std::shared_ptr<Term> Self = Weak.lock();
-        if (!Self || Self->IsEnded)
+        if (!Self || Self->IsEnded || Self->JobWatch != Watch)
           return;
         if (!Result.ok()) {
-          Self->Links.Exec.runAfter(RetryDelay, [Weak] {
+          Self->Links.Exec.runAfter(RetryDelay, [Weak, Watch] {
             std::shared_ptr<Term> Again = Weak.lock();
-            if (Again && !Again->IsEnded)
+            if (Again && !Again->IsEnded && Again->JobWatch == Watch)
               Again->relistJobs();
           });
           return;
         }
+        Self->AreJobsCurrent = true;
         for (const StoreItem &Item : Result->Items)
           Self->applyJobItem(Item);
         Self->requestPlan();
@@ -202,9 +205,10 @@
   return this->mayGiveOrders() && this->JobScheduler.isStartPending(Order);
 }
 
-/// While the role is unconfirmed, another leader may start the same tasks.
+/// While the role is unconfirmed, another leader may start the same tasks;
+/// while the jobs are not current, a task's job may have been cancelled.
 bool LeaderTask::Term::mayGiveOrders() const {
-  return this->Links.Role.isConfirmed();
+  return this->Links.Role.isConfirmed() && this->AreJobsCurrent;
 }
 
 bool LeaderTask::Term::hasRuns(const WorkerId &Worker) const {
@@ -245,7 +249,13 @@
 
 void LeaderTask::Term::leaderKeyRewritten(int64_t Revision) {
   this->Writer->setLeaderKeyRevision(Revision);
-  this->requestPlan();
+  // Jobs may have been cancelled since the last answer to the watch, so nothing
+  // is started before they are listed again.
+  if (this->IsServing) {
+    this->AreJobsCurrent = false;
+    ++this->JobWatch;
+    this->relistJobs();
+  }
 }
 
 RunEndCursors LeaderTask::Term::processedEnds() const {
--- a/libs/control/src/LeaderTaskImpl.h
+++ b/libs/control/src/LeaderTaskImpl.h
@@ -122,6 +122,12 @@
   std::map<std::string, int64_t> PublishedWaiting;
   bool IsWaitingPublishing = false;
   bool IsServing = false;
+  /// The job records have been read since the role was last confirmed after a
+  /// break.
+  bool AreJobsCurrent = true;
+  /// Incremented when the watch of the job records begins anew; answers to
+  /// earlier ones are ignored.
+  int JobWatch = 0;
   bool IsWorkersRecordDue = false;
   bool IsPlanRequested = false;
   bool HasSettled = false;
--- a/libs/control/tests/LeaderTaskTest.cpp
+++ b/libs/control/tests/LeaderTaskTest.cpp
@@ -363,6 +363,43 @@
   EXPECT_GE(Farm.StartedRuns[1].At, Farm.EndedRuns[0].At);
 }
 
+// Guards against starts of a job whose cancellation a leader has missed: it was
+// frozen when the job was cancelled, and kept its role through an outage of the
+// store.
+TEST_F(LeaderTaskTest, LeaderThatKeepsItsRoleReadsTheJobsFirst) {
+  FakeWorkerFarm &Farm = this->Cluster.Farm;
+  Farm.Durations = [](const TaskKey &) { return absl::Seconds(2); };
+  BatchJob Job = this->Cluster.job(1, 8);
+  Job.Steps.push_back(Job.Steps[0]);
+  Job.Steps[1].DependsOn = {0};
+  this->Cluster.submit(this->standby(), Id, Job);
+  // The watch that delivered the job is followed by one that ends after 2 s,
+  // while the leader is frozen.
+  this->Cluster.runFor(absl::Milliseconds(1900));
+  ASSERT_EQ(Farm.StartedRuns.size(), 1U);
+  std::string Leader = this->Cluster.leaderName();
+  SimulatedCluster::HostNode &Other = this->standby();
+  this->Cluster.freezeHost(Leader, absl::Seconds(4));
+  this->Cluster.runFor(absl::Milliseconds(200));
+  this->Cluster.cancel(Other, Id);
+  this->Cluster.runFor(absl::Milliseconds(100));
+  ASSERT_TRUE(this->Cluster.CancelAnswers[Id].ok());
+  this->Cluster.Store.Faults = [](const std::string &) {
+    return StoreFault::Refuse;
+  };
+  this->Cluster.runFor(absl::Seconds(8));
+  // Watches are served a little later than other calls.
+  this->Cluster.Store.Faults = [](const std::string &Call) {
+    return Call == "watch" ? StoreFault::Refuse : StoreFault::None;
+  };
+  this->Cluster.runFor(absl::Seconds(1));
+  this->Cluster.Store.Faults = nullptr;
+  this->Cluster.runFor(absl::Seconds(8));
+  ASSERT_EQ(this->Cluster.leaderName(), Leader);
+  EXPECT_EQ(Farm.StartedRuns.size(), 1U);
+  EXPECT_EQ(*this->Cluster.state(Other, Id), BatchState::Cancelled);
+}
+
 // Guards against records of finished jobs that fill the store.
 TEST_F(LeaderTaskTest, FinishedJobsAreDeletedAfterTheRetentionTime) {
   this->Cluster.submit(this->host("a"), Id, this->Cluster.job(1, 1));
