--- a/libs/fleet/include/fleet/BatchState.h
+++ b/libs/fleet/include/fleet/BatchState.h
@@ -7,7 +7,8 @@
 
 /// State of a job as callers see it.
 enum class BatchState {
-  /// Accepted; no worker has confirmed a run. The leader that sent a start order
+  /// Accepted; no worker has confirmed a run. The leader that sent a start
+  /// order
   /// may have died before it recorded the answer, so there may be runs.
   Queued,
   /// A worker has accepted a start or has reported a run.
