Keep starts moving while answers of the store are lost

Cause: one transaction was in flight at a time, and one whose answer was lost held up all placements until its call timed out (1.2 s) and was repeated.

Now up to four transactions for different jobs are in flight, and after 0.3 s without an answer the store is read: a mark in one record of each transaction shows whether it was applied. Ends are acknowledged only when all transactions up to the one with their changes are applied.

Tests: LostAnswerToAPlacementDelaysTheStartBriefly (failed before: the start waited for the timeout) and LaterWriteAcknowledgesNoEarlierEnd, which guards the acknowledgement.

--- a/libs/control/src/ProgressWriter.cpp
+++ b/libs/control/src/ProgressWriter.cpp
@@ -6,6 +6,8 @@
 #include "scheduler/Scheduler.h"
 #include "store/CoordinationStore.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -18,6 +20,12 @@
 static constexpr absl::Duration CollectTime = absl::Milliseconds(30);
 /// Delay before a failed transaction is retried.
 static constexpr absl::Duration RetryDelay = absl::Milliseconds(150);
+/// Maximum number of transactions in flight.
+static constexpr size_t MaxWritesInFlight = 4;
+/// Time without an answer after which the store is read to see whether a
+/// transaction was applied, and interval of these reads. Longer than the
+/// answers of a slow store take.
+static constexpr absl::Duration ProbeInterval = absl::Milliseconds(300);
 /// Transaction entries per written record: the put and its condition.
 static constexpr size_t EntriesPerPut = 2;
 /// Maximum number of records other than progress in one transaction.
@@ -30,12 +38,11 @@
 
 void ProgressWriter::requestPromptWrite() {
   this->IsWriteRequested = true;
-  if (this->IsClosed || std::exchange(this->IsPromptRequested, true) ||
-      this->IsWriting)
+  if (this->IsClosed || std::exchange(this->IsPromptRequested, true))
     return;
   this->Exec.post([Weak = this->weak_from_this()] {
     std::shared_ptr<ProgressWriter> Self = Weak.lock();
-    if (Self && !Self->IsClosed && !Self->IsWriting)
+    if (Self && !Self->IsClosed && Self->IsPromptRequested)
       Self->flush();
   });
 }
@@ -54,7 +61,7 @@
 }
 
 void ProgressWriter::scheduleFlush(absl::Duration Delay) {
-  if (this->IsFlushScheduled || this->IsWriting || this->IsClosed)
+  if (this->IsFlushScheduled || this->IsClosed)
     return;
   this->IsFlushScheduled = true;
   this->Exec.runAfter(Delay, [Weak = this->weak_from_this()] {
@@ -62,8 +69,7 @@
     if (!Self || Self->IsClosed)
       return;
     Self->IsFlushScheduled = false;
-    if (!Self->IsWriting)
-      Self->flush();
+    Self->flush();
   });
 }
 
@@ -72,66 +78,179 @@
   Known = std::max(Known, Revision);
 }
 
+int64_t ProgressWriter::knownRevision(const std::string &Key) const {
+  auto Known = this->Revisions.find(Key);
+  return Known == this->Revisions.end() ? 0 : Known->second;
+}
+
 void ProgressWriter::addPut(StoreTransaction &Transaction,
                             const std::string &Key, std::string Value) const {
-  auto Known = this->Revisions.find(Key);
-  Transaction.Conditions.push_back(
-      {Key, Known == this->Revisions.end() ? 0 : Known->second});
+  Transaction.Conditions.push_back({Key, this->knownRevision(Key)});
   Transaction.Puts.push_back({Key, std::move(Value), 0});
 }
 
+absl::flat_hash_set<JobId> ProgressWriter::jobsInFlight() const {
+  absl::flat_hash_set<JobId> Jobs;
+  for (const auto &[Id, Write] : this->InFlight)
+    for (const ProgressChange &Change : Write.Sent.Changes)
+      Jobs.insert(Change.Job);
+  return Jobs;
+}
+
+bool ProgressWriter::isFull() const {
+  return this->InFlight.size() >= MaxWritesInFlight;
+}
+
 void ProgressWriter::flush() {
+  // The answer to one of the transactions in flight leads to the next flush.
+  if (this->isFull())
+    return;
   this->IsWriteRequested = false;
   this->IsPromptRequested = false;
   StoreTransaction Transaction;
   Transaction.Conditions.push_back(
       {std::string(RecordKeys::Leader), this->LeaderKeyRevision});
-  Batch Sent;
-  while (!this->ExtraPuts.empty() && Sent.Puts.size() < MaxExtraPuts) {
+  PendingWrite Write;
+  Write.SentUnder = this->LeaderKeyRevision;
+  Batch &Sent = Write.Sent;
+  bool AreOthersInFlight = std::any_of(
+      this->InFlight.begin(), this->InFlight.end(),
+      [](const auto &Entry) { return Entry.second.HasOtherRecords; });
+  while (!AreOthersInFlight && !this->ExtraPuts.empty() &&
+         Sent.Puts.size() < MaxExtraPuts) {
     ExtraPut &Next = this->ExtraPuts.front();
     this->addPut(Transaction, Next.Key, Next.Value);
     Sent.Puts.push_back(std::move(Next));
     this->ExtraPuts.erase(this->ExtraPuts.begin());
   }
-  Sent.Ends = this->OwnerRef.processedEnds();
   Sent.Changes = this->JobScheduler.takeChanges(
-      (StoreTransaction::MaxEntries - Transaction.entryCount()) /
-      EntriesPerPut);
-  for (const ProgressChange &Change : Sent.Changes)
-    this->addPut(Transaction, RecordKeys::progress(Change.Job), Change.Record);
-  // Ends of runs count as recorded only when this transaction holds all changes
-  // so far.
-  if (this->JobScheduler.hasChanges())
-    Sent.Ends.clear();
-  while (!this->Removes.empty() &&
+      (StoreTransaction::MaxEntries - Transaction.entryCount()) / EntriesPerPut,
+      this->jobsInFlight());
+  uint64_t Id = this->NextWrite++;
+  for (const ProgressChange &Change : Sent.Changes) {
+    std::string Key = RecordKeys::progress(Change.Job);
+    std::string Value = Change.Record;
+    if (Write.ProbeKey.empty()) {
+      Value = this->markRecord(std::move(Value), Id);
+      Write.ProbeKey = Key;
+      Write.ProbeValue = Value;
+    }
+    this->addPut(Transaction, Key, std::move(Value));
+  }
+  while (!AreOthersInFlight && !this->Removes.empty() &&
          Transaction.entryCount() < StoreTransaction::MaxEntries) {
     this->Revisions.erase(this->Removes.back());
     Transaction.Removes.push_back(this->Removes.back());
     Sent.Removes.push_back(std::move(this->Removes.back()));
     this->Removes.pop_back();
   }
-  if (Transaction.entryCount() == 1) {
-    this->OwnerRef.endsRecorded(Sent.Ends);
+  // A transaction that would be empty shows that all changes are recorded or in
+  // flight.
+  bool IsEmpty = Transaction.entryCount() == 1;
+  if (!IsEmpty) {
+    Write.HasOtherRecords = !Sent.Puts.empty() || !Sent.Removes.empty();
+    this->InFlight.emplace(Id, std::move(Write));
+  }
+  this->noteEnds();
+  if (!IsEmpty)
+    this->send(std::move(Transaction), Id);
+}
+
+/// Adds a field to a record that no other transaction writes.
+std::string ProgressWriter::markRecord(std::string Record, uint64_t Id) const {
+  Record.insert(Record.size() - 1, fmt::format(R"(,"write":"{}.{}")",
+                                               this->LeaderKeyRevision, Id));
+  return Record;
+}
+
+/// Notes that the ends processed so far are recorded once all transactions in
+/// flight are applied, unless changes are left that none of them holds.
+void ProgressWriter::noteEnds() {
+  if (this->JobScheduler.hasChanges())
     return;
+  uint64_t Last = this->InFlight.empty() ? 0 : this->InFlight.rbegin()->first;
+  this->PendingEnds[Last] = this->OwnerRef.processedEnds();
+  this->releaseEnds();
+}
+
+/// Reports the ends whose transactions have all been applied.
+void ProgressWriter::releaseEnds() {
+  while (!this->PendingEnds.empty()) {
+    auto First = this->PendingEnds.begin();
+    bool IsWaiting = !this->InFlight.empty() &&
+                     this->InFlight.begin()->first <= First->first;
+    if (IsWaiting)
+      return;
+    RunEndCursors Ends = std::move(First->second);
+    this->PendingEnds.erase(First);
+    this->OwnerRef.endsRecorded(Ends);
   }
-  this->IsWriting = true;
-  this->Store.commit(std::move(Transaction),
-                     [Weak = this->weak_from_this(), Sent = std::move(Sent),
-                      SentUnder = this->LeaderKeyRevision](
-                         absl::StatusOr<StoreCommit> Result) mutable {
-                       std::shared_ptr<ProgressWriter> Self = Weak.lock();
-                       if (!Self || Self->IsClosed)
-                         return;
-                       Self->IsWriting = false;
-                       Self->commitAnswered(Result, SentUnder, std::move(Sent));
-                     });
-}
-
-/// \param SentUnder revision of the leader's key that the transaction named.
+}
+
+void ProgressWriter::send(StoreTransaction Transaction, uint64_t Id) {
+  bool CanProbe = !this->InFlight.at(Id).ProbeKey.empty();
+  this->Store.commit(
+      std::move(Transaction),
+      [Weak = this->weak_from_this(), Id](absl::StatusOr<StoreCommit> Result) {
+        std::shared_ptr<ProgressWriter> Self = Weak.lock();
+        if (Self && !Self->IsClosed)
+          Self->commitAnswered(Result, Id);
+      });
+  if (CanProbe)
+    this->probeLater(Id);
+}
+
+/// Reads a record of the transaction after ProbeInterval if it is still
+/// unanswered then.
+void ProgressWriter::probeLater(uint64_t Id) {
+  this->Exec.runAfter(ProbeInterval, [Weak = this->weak_from_this(), Id] {
+    std::shared_ptr<ProgressWriter> Self = Weak.lock();
+    if (!Self || Self->IsClosed)
+      return;
+    auto Found = Self->InFlight.find(Id);
+    if (Found == Self->InFlight.end())
+      return;
+    Self->Store.get(
+        Found->second.ProbeKey,
+        [Weak, Id](const absl::StatusOr<std::optional<StoreItem>> &Result) {
+          std::shared_ptr<ProgressWriter> Again = Weak.lock();
+          if (Again && !Again->IsClosed)
+            Again->probeAnswered(Id, Result);
+        });
+  });
+}
+
+void ProgressWriter::probeAnswered(
+    uint64_t Id, const absl::StatusOr<std::optional<StoreItem>> &Result) {
+  auto Found = this->InFlight.find(Id);
+  if (Found == this->InFlight.end())
+    return;
+  bool IsApplied = Result.ok() && Result->has_value() &&
+                   (*Result)->Value == Found->second.ProbeValue;
+  if (!IsApplied)
+    return this->probeLater(Id);
+  this->Events.info("leader", "an unanswered write was applied",
+                    {{"records", Found->second.Sent.Changes.size()}});
+  int64_t Revision = (*Result)->Revision;
+  Batch Sent = std::move(Found->second.Sent);
+  this->InFlight.erase(Found);
+  this->commitSucceeded(Revision, Sent);
+}
+
 void ProgressWriter::commitAnswered(const absl::StatusOr<StoreCommit> &Result,
-                                    int64_t SentUnder, Batch Sent) {
+                                    uint64_t Id) {
+  auto Found = this->InFlight.find(Id);
+  // A read has shown before that it was applied.
+  if (Found == this->InFlight.end())
+    return;
+  int64_t SentUnder = Found->second.SentUnder;
+  Batch Sent = std::move(Found->second.Sent);
+  this->InFlight.erase(Found);
   if (Result.ok() && Result->IsApplied)
     return this->commitSucceeded(Result->Revision, Sent);
+  // Its changes have to be written again, after the ends noted with them.
+  this->PendingEnds.erase(this->PendingEnds.lower_bound(Id),
+                          this->PendingEnds.end());
   absl::Duration Delay = absl::ZeroDuration();
   if (Result.ok()) {
     bool IsLeader = false;
@@ -192,10 +311,8 @@
     if (Put.Done)
       Put.Done();
   }
-  this->OwnerRef.endsRecorded(Sent.Ends);
+  this->releaseEnds();
   this->OwnerRef.transactionWritten();
-  if (this->IsWriting)
-    return;
   if (this->IsPromptRequested ||
       this->JobScheduler.hasUnrecordedUrgentPlacements())
     this->flush();
--- a/libs/control/src/ProgressWriter.h
+++ b/libs/control/src/ProgressWriter.h
@@ -5,9 +5,11 @@
 #include "base/Executor.h"
 #include "scheduler/ProgressChange.h"
 #include "store/StoreCommit.h"
+#include "store/StoreItem.h"
 #include "store/StoreTransaction.h"
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 #include "absl/status/statusor.h"
 #include "absl/time/time.h"
 
@@ -15,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,7 +28,11 @@
 class Scheduler;
 
 /// Writes changed progress records to the store. It batches records in
-/// transactions and has one transaction in flight at a time.
+/// transactions. A few of them, for different records, may be in flight at a
+/// time, so that a lost answer delays only the records that it was about.
+///
+/// A transaction without an answer is looked for in the store before its call
+/// times out: starts wait for the records of their placements.
 ///
 /// Every transaction is conditional on the revision of the leader's key, so
 /// that a former leader changes nothing, and on the revision of each record, so
@@ -91,12 +98,32 @@
     std::vector<ProgressChange> Changes;
     std::vector<ExtraPut> Puts;
     std::vector<std::string> Removes;
-    RunEndCursors Ends;
   };
+  /// A transaction without an answer.
+  struct PendingWrite {
+    Batch Sent;
+    /// Revision of the leader's key that the transaction named.
+    int64_t SentUnder = 0;
+    /// One of its records, with the mark of this transaction, which shows
+    /// whether it was applied; empty if it holds no progress.
+    std::string ProbeKey;
+    std::string ProbeValue;
+    /// It holds records other than progress, or deletes some.
+    bool HasOtherRecords = false;
+  };
+  int64_t knownRevision(const std::string &Key) const;
   void addPut(StoreTransaction &Transaction, const std::string &Key,
               std::string Value) const;
-  void commitAnswered(const absl::StatusOr<StoreCommit> &Result,
-                      int64_t SentUnder, Batch Sent);
+  absl::flat_hash_set<JobId> jobsInFlight() const;
+  bool isFull() const;
+  std::string markRecord(std::string Record, uint64_t Id) const;
+  void send(StoreTransaction Transaction, uint64_t Id);
+  void probeLater(uint64_t Id);
+  void probeAnswered(uint64_t Id,
+                     const absl::StatusOr<std::optional<StoreItem>> &Result);
+  void commitAnswered(const absl::StatusOr<StoreCommit> &Result, uint64_t Id);
+  void noteEnds();
+  void releaseEnds();
   void requeue(Batch Sent);
   void adoptRevisions(const std::vector<StoreItem> &Found, const Batch &Sent);
   void commitSucceeded(int64_t Revision, const Batch &Sent);
@@ -112,11 +139,15 @@
   absl::flat_hash_map<std::string, int64_t> Revisions;
   std::vector<ExtraPut> ExtraPuts;
   std::vector<std::string> Removes;
+  std::map<uint64_t, PendingWrite> InFlight;
+  uint64_t NextWrite = 1;
   bool IsFlushScheduled = false;
-  bool IsWriting = false;
   bool IsWriteRequested = false;
-  /// A prompt write was requested while a transaction was in flight.
+  /// A prompt write was requested and has not been sent.
   bool IsPromptRequested = false;
+  /// Ends of runs that count as recorded once all transactions up to the given
+  /// one are applied.
+  std::map<uint64_t, RunEndCursors> PendingEnds;
   bool IsClosed = false;
 };
 
--- a/libs/control/tests/LeaderTaskTest.cpp
+++ b/libs/control/tests/LeaderTaskTest.cpp
@@ -825,3 +825,61 @@
   EXPECT_EQ(*Runs.rbegin() - *Runs.begin(), 3);
   EXPECT_EQ(*Runs.begin() % (int64_t(1) << 20), 1);
 }
+
+// Guards against starts that wait for the call to time out when the answer to
+// the write of their placement is lost, and hold up those of other jobs.
+TEST_F(LeaderTaskTest, LostAnswerToAPlacementDelaysTheStartBriefly) {
+  int Losses = 0;
+  this->Cluster.submit(this->host("a"), Id, this->Cluster.job(1, 8));
+  this->Cluster.runFor(absl::Milliseconds(6));
+  this->Cluster.Store.Faults = [&Losses](const std::string &Call) {
+    return Call == "commit" && Losses++ == 0 ? StoreFault::LoseAnswer
+                                             : StoreFault::None;
+  };
+  this->Cluster.runFor(absl::Milliseconds(50));
+  ASSERT_GE(Losses, 1);
+  this->Cluster.submit(this->host("a"), "00000000000000aa",
+                       this->Cluster.job(1, 8));
+  this->Cluster.runFor(absl::Milliseconds(100));
+  ASSERT_EQ(this->Cluster.Farm.StartedRuns.size(), 1U);
+  EXPECT_EQ(this->Cluster.Farm.StartedRuns[0].Task.Job,
+            JobId("00000000000000aa"));
+  this->Cluster.runFor(absl::Milliseconds(400));
+  EXPECT_EQ(this->Cluster.Farm.StartedRuns.size(), 2U);
+  this->Cluster.runFor(absl::Seconds(5));
+  EXPECT_EQ(*this->Cluster.state(this->host("a"), Id), BatchState::Done);
+  EXPECT_EQ(this->repeatedStarts(), 0U);
+}
+
+// Guards against an end that is acknowledged although the transaction with it
+// was not applied: a later one was, which held no change of its job.
+TEST_F(LeaderTaskTest, LaterWriteAcknowledgesNoEarlierEnd) {
+  FakeWorkerFarm &Farm = this->Cluster.Farm;
+  Farm.Durations = [](const TaskKey &Task) {
+    return Task.Job == JobId(Id) ? absl::Milliseconds(500)
+                                 : absl::Milliseconds(700);
+  };
+  this->Cluster.submit(this->host("a"), Id, this->Cluster.job(1, 8));
+  this->Cluster.submit(this->host("a"), "00000000000000aa",
+                       this->Cluster.job(1, 8));
+  this->Cluster.runFor(absl::Milliseconds(400));
+  ASSERT_EQ(Farm.StartedRuns.size(), 2U);
+  // The first write from now on holds the end of the first job.
+  int Commits = 0;
+  this->Cluster.Store.Faults = [&Commits](const std::string &Call) {
+    return Call == "commit" && Commits++ == 0 ? StoreFault::Drop
+                                              : StoreFault::None;
+  };
+  this->Cluster.runFor(absl::Milliseconds(800));
+  ASSERT_GE(Commits, 2);
+  for (const FakeWorkerFarm::StartedRun &Run : Farm.StartedRuns) {
+    if (Run.Task.Job == JobId(Id)) {
+      EXPECT_EQ(Farm.acknowledgedEnd(Run.Worker), 0);
+    }
+  }
+  EXPECT_NE(*this->Cluster.state(this->host("a"), Id), BatchState::Done);
+  this->Cluster.runFor(absl::Seconds(4));
+  EXPECT_EQ(*this->Cluster.state(this->host("a"), Id), BatchState::Done);
+  for (const FakeWorkerFarm::StartedRun &Run : Farm.StartedRuns)
+    EXPECT_EQ(Farm.acknowledgedEnd(Run.Worker), 1);
+}
--- a/libs/scheduler/include/scheduler/Scheduler.h
+++ b/libs/scheduler/include/scheduler/Scheduler.h
@@ -12,6 +12,7 @@
 #include "scheduler/SchedulerSettings.h"
 #include "scheduler/WaitReason.h"
 
+#include "absl/container/flat_hash_set.h"
 #include "absl/time/time.h"
 
 #include <cstddef>
@@ -129,7 +130,9 @@
 
   /// Returns changed progress records that have to be written, at most \p Max.
   /// Each change is returned once, unless progressWriteFailed() marks it again.
-  std::vector<ProgressChange> takeChanges(size_t Max);
+  /// \param Excluded jobs whose last change is still being written.
+  std::vector<ProgressChange>
+  takeChanges(size_t Max, const absl::flat_hash_set<JobId> &Excluded = {});
   bool hasChanges() const;
   /// The write has failed: takeChanges() returns the progress of the job again.
   void progressWriteFailed(const JobId &Job);
--- a/libs/scheduler/src/Scheduler.cpp
+++ b/libs/scheduler/src/Scheduler.cpp
@@ -116,10 +116,12 @@
   return this->Implementation->HasWaitingWork;
 }
 
-std::vector<ProgressChange> Scheduler::takeChanges(size_t Max) {
+std::vector<ProgressChange>
+Scheduler::takeChanges(size_t Max, const absl::flat_hash_set<JobId> &Excluded) {
   std::vector<ProgressChange> Changes;
   auto Take = [&](JobEntry &Entry) {
-    if (!Entry.IsDirty || Changes.size() == Max)
+    if (!Entry.IsDirty || Changes.size() == Max ||
+        Excluded.contains(Entry.Job.Id))
       return;
     Entry.IsDirty = false;
     Changes.push_back({Entry.Job.Id, encodeProgress(Entry.Job, Entry.Progress),
