Let only one task of a job without a run give up its rack

Found by reading the change: the bound of the wait for locality, and of the limits of faulty workers, was meant for a job without a run, but all waiting tasks of its step were placed anywhere in the same plan.

Cause: the step was marked as overdue once, before its first task was placed. Now the mark is dropped with the first placement, and the other tasks wait for their rack as before.

--- a/libs/scheduler/src/SchedulerImpl.h
+++ b/libs/scheduler/src/SchedulerImpl.h
@@ -49,7 +49,7 @@
   bool leavesHeadroom(const PlacementRequest &Request, int Tasks) const;
   void countAwaitingReports(JobEntry &Entry, absl::Time Now);
   void placeReadyStep(const ReadyStep &Ready, absl::Time Now);
-  std::optional<WaitReason> placeStep(const PlacementRequest &Request);
+  std::optional<WaitReason> placeStep(PlacementRequest Request);
   void reportWait(const PlacementRequest &Request, WaitReason Reason);
   void reserve(const PlacementRequest &Request, const std::vector<int> &Indexes,
                const TentativePlacement &Placement);
--- a/libs/scheduler/src/SchedulerPlan.cpp
+++ b/libs/scheduler/src/SchedulerPlan.cpp
@@ -221,8 +221,7 @@
 
 /// Places the waiting tasks of the step.
 /// \returns why tasks are left; nullopt if none is.
-std::optional<WaitReason>
-Scheduler::Impl::placeStep(const PlacementRequest &Request) {
+std::optional<WaitReason> Scheduler::Impl::placeStep(PlacementRequest Request) {
   JobEntry &Entry = *Request.Entry;
   int Count = Request.spec().TaskCount;
   if (Request.spec().IsGang) {
@@ -249,6 +248,8 @@
     if (!Found.Placement)
       return Found.Reason;
     this->reserve(Request, {I}, *Found.Placement);
+    // The job has a run now, so its other tasks may wait for a better worker.
+    Request.IsOverdue = false;
   }
   return std::nullopt;
 }
--- a/libs/scheduler/tests/SchedulerTest.cpp
+++ b/libs/scheduler/tests/SchedulerTest.cpp
@@ -893,3 +893,25 @@
   Harness.Exec.advance(absl::Seconds(1));
   EXPECT_EQ(Harness.planAndAccept().Starts.size(), 2U);
 }
+
+// Guards against a job of which all tasks run far from their data because none
+// had a run: one does, and the others wait for their rack.
+TEST(SchedulerTest, OnlyOneTaskOfAJobWithoutARunGivesUpItsRack) {
+  SchedulerHarness Harness;
+  Harness.addWorker("w0", "r0");
+  Harness.addWorker("w1", "r1");
+  BatchJob Long = Harness.makeJob("long", 1, 8);
+  Long.Steps[0].DataRack = RackId("r0");
+  Harness.addJob(Long);
+  ASSERT_EQ(Harness.planAndAccept().Starts.size(), 1U);
+  BatchJob Job = Harness.makeJob("near", 4, 2);
+  Job.Steps[0].Estimate = absl::Seconds(7);
+  Job.Steps[0].DataRack = RackId("r0");
+  Harness.addJob(Job);
+  size_t Starts = 0;
+  for (int I = 0; I < 50; ++I) {
+    Starts += Harness.planAndAccept().Starts.size();
+    Harness.Exec.advance(absl::Milliseconds(100));
+  }
+  EXPECT_EQ(Starts, 1U);
+}
