--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -334,6 +334,8 @@
         self.clock_rate = clock_rate
         self.is_cut = False
         self.is_down = False
+        self.state = "ready"
+        self.remaining = 0.0
         # Every start, as (time, worker, task, run); every end likewise.
         self.starts = []
         self.ends = []
@@ -367,6 +369,26 @@
         self.is_down = False
         self.register()
 
+    def drain(self, remaining_seconds):
+        """Reports that it leaves."""
+        self.note("gets notice")
+        self.state = "draining"
+        self.remaining = remaining_seconds
+        self.register()
+
+    def leave(self):
+        """Is gone for good; its entry goes with it."""
+        self.note("is gone")
+        self.is_down = True
+        self.server.close()
+        for connection in list(self.connections):
+            connection.reset()
+        for key in list(self.running):
+            self.end(key, "lost")
+        self.store.revision += 1
+        self.store.remove(f"servers/{self.name}")
+        self.store.announce()
+
     def cut(self):
         """Partitions the worker from the hosts; it runs on."""
         self.note("is cut off")
@@ -385,9 +407,13 @@
 
     def register(self):
         self.sequence += 1
+        extra = {}
+        if self.state == "draining":
+            extra["remaining-ms"] = int(self.remaining * 1000)
         self.store.put(f"servers/{self.name}", json.dumps({
+            **extra,
             "service": self.service, "address": self.address, "zone": "z1",
-            "version": "v1", "slots": 8, "state": "ready",
+            "version": "v1", "slots": 8, "state": self.state,
             "cold-remaining-ms": 0,
             "capacity": {"cpu": 128000, "mem-mb": 262144, "gpu": 8},
             "labels": ["a", self.rack], "clock-ms": self.clock(),
