--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -165,11 +165,6 @@
         self.changed = asyncio.Event()
         # "served", "silent" or "busy".
         self.mode = "served"
-        # Called with a transaction before it is applied; returns None to apply
-        # and answer it, "lost" to apply it without an answer, or the seconds
-        # after which it is applied without an answer.
-        self.intercept = None
-        self.timers = []
 
     def put(self, key, text, lease=0):
         self.revision += 1
@@ -245,7 +240,7 @@
         if path == "/vanillayard/kv-watch":
             return await self.watch(query, connection)
         if path == "/vanillayard/kv-txn":
-            return await self.transact(json.loads(body))
+            return self.apply(json.loads(body))
         if path == "/vanillayard/kv-lease":
             ttl = json.loads(body)["ttl-ms"]
             self.next_lease += 1
@@ -280,20 +275,6 @@
             except asyncio.TimeoutError:
                 pass
 
-    async def transact(self, document):
-        choice = self.intercept(document) if self.intercept else None
-        if choice is None:
-            return self.apply(document)
-        if choice == "lost":
-            self.apply(document)
-        else:
-            async def late():
-                await asyncio.sleep(choice)
-                status, _ = self.apply(document)
-                self.record.write(f"store: a late transaction ends with {status}")
-            self.timers.append(asyncio.ensure_future(late()))
-        return None
-
     def apply(self, document):
         rows = document.get("expected-revision", [])
         current = {r["key"]: self.items.get(r["key"]) for r in rows}
@@ -313,25 +294,23 @@
 
 
 class Run:
-    def __init__(self, task, run, until):
+    def __init__(self, task, run, ends):
         self.task = task
         self.run = run
-        self.ends = None
+        # When it is done, if nothing ends it before.
+        self.ends = ends
 
 
 class Worker(HttpStandIn):
-    """A worker. Guards its capacity by the number of accelerators."""
+    """A worker. It has room for all that the cases start."""
 
-    def __init__(self, record, store, name, rack, task_seconds, service="svc",
-                 clock_rate=1.0):
+    def __init__(self, record, store, name, rack, task_seconds):
         super().__init__()
         self.record = record
         self.store = store
         self.name = name
         self.rack = rack
         self.task_seconds = task_seconds
-        self.service = service
-        self.clock_rate = clock_rate
         self.is_cut = False
         self.is_down = False
         self.state = "ready"
@@ -400,7 +379,7 @@
         self.is_cut = False
 
     def clock(self):
-        return int((time.monotonic() - self.origin) * 1000 * self.clock_rate)
+        return int((time.monotonic() - self.origin) * 1000)
 
     def note(self, text):
         self.record.write(f"{self.name}: {text}")
@@ -412,7 +391,7 @@
             extra["remaining-ms"] = int(self.remaining * 1000)
         self.store.put(f"servers/{self.name}", json.dumps({
             **extra,
-            "service": self.service, "address": self.address, "zone": "z1",
+            "service": "svc", "address": self.address, "zone": "z1",
             "version": "v1", "slots": 8, "state": self.state,
             "cold-remaining-ms": 0,
             "capacity": {"cpu": 128000, "mem-mb": 262144, "gpu": 8},
@@ -504,9 +483,8 @@
             return 200, {"clock-ms": self.clock()}
         if number <= self.highest.get(task, 0):
             return self.refuse("old")
-        run = Run(task, number, self.until)
-        run.ends = time.monotonic() + self.task_seconds(task)
-        self.running[(task, number)] = run
+        self.running[(task, number)] = Run(
+            task, number, time.monotonic() + self.task_seconds(task))
         self.starts.append((self.record.now(), self.name, task, number))
         self.note(f"run {number} of {task} starts")
         return 200, {"clock-ms": self.clock()}
@@ -700,7 +678,7 @@
         return sorted(e for w in self.workers for e in w.ends)
 
     def close(self):
-        for task in self.tasks + self.store.timers:
+        for task in self.tasks:
             task.cancel()
         for host in self.hosts:
             host.end()
@@ -724,13 +702,13 @@
     """
     rig = Rig(case_folder, bounds)
 
-    async def main():
-        return await asyncio.wait_for(case(rig), limit)
-
     async def whole():
+        work = asyncio.ensure_future(asyncio.wait_for(case(rig), limit))
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM,
+                                                      work.cancel)
         try:
-            result = await main()
-        except Exception as error:  # The case could not run.
+            result = await work
+        except (Exception, asyncio.CancelledError) as error:
             rig.record.write(f"error: {error!r}")
             result = None
         if result is None:
