--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -503,14 +503,17 @@
     def __init__(self, rig, name):
         self.rig = rig
         self.name = name
-        first = free_ports(5)
-        self.caller, self.ready, self.control = first, first + 1, first + 2
-        self.internal = first + 3
         self.settings = os.path.join(rig.folder, f"{name}.conf")
         self.log = os.path.join(rig.folder, f"{name}.log")
         self.process = None
+        self.take_ports()
+
+    def take_ports(self):
+        first = free_ports(5)
+        self.caller, self.ready, self.control = first, first + 1, first + 2
+        self.internal = first + 3
         with open(self.settings, "w", encoding="utf-8") as out:
-            out.write(rig.settings_text(self))
+            out.write(self.rig.settings_text(self))
 
     def start(self):
         command = shlex.split(self.rig.command)
@@ -652,6 +655,13 @@
         """Waits until a host leads and all hosts have the configuration."""
         deadline = time.monotonic() + seconds
         while time.monotonic() < deadline:
+            for host in self.hosts:
+                if host.process.poll() is not None:
+                    # Another program may have taken one of its ports.
+                    self.record.write(f"{host.name} ended with "
+                                      f"{host.process.poll()} at its start")
+                    host.take_ports()
+                    host.start()
             answers = [await h.call("GET", self.prefix) for h in self.hosts]
             if self.leader() and all(s == 200 for s, _ in answers):
                 return True
