Keep a job known until the watch reports the deletion of its record

Cause: a leader that keeps its role lists the job records again and took each job that it did not know for a new one, and it forgot a job when its deletion was queued, not when it was applied.

The leader now keeps the revision of each job record until a watch reports its deletion, so a listing that was read before cannot bring the job back. A record with a higher revision is another job with the same id.

JobsDueForDeletionInAnOutageDoNotRunAgain and JobsInDeletionDoNotRunAgainAfterLostHistory failed before the change.

--- a/libs/control/src/LeaderLoader.cpp
+++ b/libs/control/src/LeaderLoader.cpp
@@ -142,7 +142,8 @@
         continue;
       }
     }
-    Records.Jobs.push_back({*std::move(Job), std::move(Known), Revision});
+    Records.Jobs.push_back(
+        {*std::move(Job), std::move(Known), Item.Revision, Revision});
   }
   return Records;
 }
--- a/libs/control/src/LeaderTaskImpl.cpp
+++ b/libs/control/src/LeaderTaskImpl.cpp
@@ -77,7 +77,7 @@
   size_t Unfinished = 0;
   for (LoadedRecords::LoadedJob &Loaded : Records.Jobs) {
     JobId Id = Loaded.Job.Id;
-    this->KnownJobs.insert(Id);
+    this->JobRecords.add(Id, Loaded.JobRevision);
     this->Writer->noteRevision(RecordKeys::progress(Id),
                                Loaded.ProgressRevision);
     if (isFinal(Loaded.Progress.State)) {
@@ -126,7 +126,7 @@
     this->JobScheduler.cancelJob(Key->Id, this->now());
     return;
   }
-  if (!this->KnownJobs.insert(Key->Id).second)
+  if (!this->JobRecords.add(Key->Id, Item.Revision))
     return;
   absl::StatusOr<BatchJob> Job = decodeBatchJob(Item.Value);
   if (!Job.ok()) {
@@ -143,6 +143,12 @@
                             this->now());
 }
 
+void LeaderTask::Term::applyJobDeletion(const StoreItem &Item) {
+  std::optional<RecordKeys::JobKey> Key = RecordKeys::parseJobKey(Item.Key);
+  if (Key && !Key->IsCancel)
+    this->JobRecords.forget(Key->Id, Item.Revision);
+}
+
 void LeaderTask::Term::watchJobs(int64_t Revision) {
   this->Links.Store.awaitChanges(
       std::string(RecordKeys::JobPrefix), Revision, WatchTime,
@@ -161,9 +167,12 @@
         }
         if (Result->IsHistoryLost)
           return Self->relistJobs();
-        for (const StoreChange &Change : Result->Changes)
-          if (!Change.IsDeleted)
+        for (const StoreChange &Change : Result->Changes) {
+          if (Change.IsDeleted)
+            Self->applyJobDeletion(Change.Item);
+          else
             Self->applyJobItem(Change.Item);
+        }
         if (!Result->Changes.empty())
           Self->requestPlan();
         Self->watchJobs(Result->Revision);
@@ -321,7 +330,6 @@
     Keys.push_back(RecordKeys::job(Id));
     Keys.push_back(RecordKeys::cancel(Id));
     Keys.push_back(RecordKeys::progress(Id));
-    this->KnownJobs.erase(Id);
   }
   if (!Keys.empty())
     this->Writer->removeRecords(std::move(Keys));
--- a/libs/control/src/LeaderTaskImpl.h
+++ b/libs/control/src/LeaderTaskImpl.h
@@ -1,6 +1,7 @@
 #ifndef VANILLAYARD_CONTROL_LEADERTASKIMPL_H
 #define VANILLAYARD_CONTROL_LEADERTASKIMPL_H
 
+#include "JobRecordIndex.h"
 #include "LeaderLoader.h"
 #include "ProgressWriter.h"
 #include "WorkerDriver.h"
@@ -87,6 +88,7 @@
   // LeaderTaskImpl.cpp: jobs, planning and job records.
   void applyRecords(LoadedRecords Records);
   void applyJobItem(const StoreItem &Item);
+  void applyJobDeletion(const StoreItem &Item);
   void watchJobs(int64_t Revision);
   void relistJobs();
   void runPeriodicChecks();
@@ -115,8 +117,7 @@
   /// Workers recorded by earlier leaders that have not reported to this leader
   /// and whose last lease may not have expired.
   std::set<WorkerId> UnreportedWorkers;
-  /// All jobs whose records have been seen, until the records are deleted.
-  absl::flat_hash_set<JobId> KnownJobs;
+  JobRecordIndex JobRecords;
   /// Finished jobs, ordered by the time from which they may be deleted.
   std::deque<std::pair<absl::Time, JobId>> Finished;
   std::map<std::string, int64_t> PublishedWaiting;
--- a/libs/control/src/LoadedRecords.h
+++ b/libs/control/src/LoadedRecords.h
@@ -16,6 +16,7 @@
   struct LoadedJob {
     BatchJob Job;
     JobProgress Progress;
+    int64_t JobRevision = 0;
     /// Revision of the progress record; 0 if there is none.
     int64_t ProgressRevision = 0;
   };
--- a/libs/control/tests/LeaderTaskTest.cpp
+++ b/libs/control/tests/LeaderTaskTest.cpp
@@ -754,6 +754,62 @@
   EXPECT_FALSE(this->Cluster.Store.has(RecordKeys::progress(JobId(Id))));
 }
 
+// Guards against finished jobs that run again: their deletion was queued when
+// an outage began, and the listing that follows the outage still holds them.
+TEST_F(LeaderTaskTest, JobsDueForDeletionInAnOutageDoNotRunAgain) {
+  this->Cluster.submit(this->host("a"), Id, this->Cluster.job(2, 8));
+  this->Cluster.runFor(absl::Seconds(149));
+  ASSERT_TRUE(this->Cluster.Store.has(RecordKeys::job(JobId(Id))));
+  std::string Leader = this->Cluster.leaderName();
+  this->Cluster.Store.Faults = [](const std::string &) {
+    return StoreFault::Refuse;
+  };
+  this->Cluster.runFor(absl::Seconds(5));
+  this->Cluster.Store.expireAllLeases();
+  this->Cluster.Store.Faults = nullptr;
+  this->Cluster.runFor(absl::Seconds(10));
+  ASSERT_EQ(this->Cluster.leaderName(), Leader);
+  EXPECT_EQ(this->repeatedStarts(), 0U);
+  EXPECT_FALSE(this->Cluster.Store.has(RecordKeys::job(JobId(Id))));
+}
+
+// Guards against the same after the store has dropped its history: the job
+// records are listed anew while the deletion is on its way.
+TEST_F(LeaderTaskTest, JobsInDeletionDoNotRunAgainAfterLostHistory) {
+  this->Cluster.submit(this->host("a"), Id, this->Cluster.job(2, 8));
+  this->Cluster.runFor(absl::Milliseconds(149500));
+  this->Cluster.Store.LateBy = absl::Seconds(8);
+  this->Cluster.Store.Faults = [](const std::string &Call) {
+    if (Call == "watch")
+      return StoreFault::Drop;
+    return Call == "commit" ? StoreFault::ApplyLate : StoreFault::None;
+  };
+  this->Cluster.runFor(absl::Seconds(4));
+  ASSERT_TRUE(this->Cluster.Store.has(RecordKeys::job(JobId(Id))));
+  this->Cluster.Store.put("other", "change that the watch has not delivered");
+  this->Cluster.Store.compact();
+  this->Cluster.Store.Faults = [](const std::string &Call) {
+    return Call == "commit" ? StoreFault::ApplyLate : StoreFault::None;
+  };
+  this->Cluster.runFor(absl::Seconds(4));
+  this->Cluster.Store.Faults = nullptr;
+  this->Cluster.runFor(absl::Seconds(20));
+  EXPECT_EQ(this->repeatedStarts(), 0U);
+  EXPECT_FALSE(this->Cluster.Store.has(RecordKeys::job(JobId(Id))));
+}
+
+// Guards against a job that never runs because its id is that of a job that the
+// leader has deleted.
+TEST_F(LeaderTaskTest, IdOfADeletedJobCanBeUsedAgain) {
+  this->Cluster.submit(this->host("a"), Id, this->Cluster.job(1, 8));
+  this->Cluster.runFor(absl::Seconds(160));
+  ASSERT_FALSE(this->Cluster.Store.has(RecordKeys::job(JobId(Id))));
+  this->Cluster.submit(this->host("a"), Id, this->Cluster.job(1, 8));
+  this->Cluster.runFor(absl::Seconds(3));
+  EXPECT_EQ(this->Cluster.Farm.StartedRuns.size(), 2U);
+  EXPECT_EQ(*this->Cluster.state(this->host("a"), Id), BatchState::Done);
+}
+
 // Guards against a second run of a task that was done. The worker restarts, an
 // acknowledgement for its previous incarnation arrives late, and the worker
 // drops the end of a new run before the leader has seen it.
