Delete all records of a job in one transaction

Cause: the deletion of a job's three records could be split between two transactions, progress first, and a new leader took a job record without progress for a job that had not begun.

Ruled out: a new job without a progress record; both are created in one transaction, and no former leader writes after the next one lists.

Records of a job are now never split. A leader that finds a job record alone completes its deletion. Each deletion names the revision of the job record that it was decided from: a deletion that is repeated after a lost answer spares a new job of the same id.

LeaderThatEndsWhileItDeletesJobsRepeatsNone, JobRecordWithoutProgressIsDeleted and RepeatedDeletionSparesANewJobOfTheSameId failed before the change.

--- a/libs/control/src/LeaderLoader.cpp
+++ b/libs/control/src/LeaderLoader.cpp
@@ -129,21 +129,27 @@
                          {{"key", Item.Key}, {"error", Job.status()}});
       continue;
     }
-    JobProgress Known(*Job);
-    int64_t Revision = 0;
     auto Found = ProgressById.find(Key->Id);
-    if (Found != ProgressById.end()) {
-      Revision = Found->second->Revision;
-      if (absl::Status Error = decodeProgress(Found->second->Value, Known);
-          !Error.ok()) {
-        this->Events.error(
-            "leader", "progress record could not be decoded, skipping the job",
-            {{"job", Key->Id}, {"error", Error}});
-        continue;
-      }
+    if (Found == ProgressById.end()) {
+      // Both records are created in one transaction, so only a deletion leaves
+      // one of them. Builds before this one deleted them separately.
+      this->Events.warning(
+          "leader", "job has no progress record, completing its deletion",
+          {{"job", Key->Id}, {"revision", Item.Revision}});
+      Records.DeletedInPart.push_back(
+          {Key->Id, Item.Revision, /*HasProgress=*/false});
+      continue;
+    }
+    JobProgress Known(*Job);
+    if (absl::Status Error = decodeProgress(Found->second->Value, Known);
+        !Error.ok()) {
+      this->Events.error(
+          "leader", "progress record could not be decoded, skipping the job",
+          {{"job", Key->Id}, {"error", Error}});
+      continue;
     }
-    Records.Jobs.push_back(
-        {*std::move(Job), std::move(Known), Item.Revision, Revision});
+    Records.Jobs.push_back({*std::move(Job), std::move(Known), Item.Revision,
+                            Found->second->Revision});
   }
   return Records;
 }
--- a/libs/control/src/LeaderTaskImpl.cpp
+++ b/libs/control/src/LeaderTaskImpl.cpp
@@ -92,6 +92,10 @@
     this->JobScheduler.addJob(std::move(Loaded.Job), std::move(Loaded.Progress),
                               MayHaveOtherRuns, this->now());
   }
+  for (const JobRemoval &Remains : Records.DeletedInPart) {
+    this->JobRecords.add(Remains.Id, Remains.JobRevision);
+    this->Writer->removeJob(Remains);
+  }
   for (const JobId &Id : Records.Cancelled)
     this->JobScheduler.cancelJob(Id, this->now());
   this->Writer->noteRevision(std::string(RecordKeys::Workers),
@@ -145,8 +149,10 @@
 
 void LeaderTask::Term::applyJobDeletion(const StoreItem &Item) {
   std::optional<RecordKeys::JobKey> Key = RecordKeys::parseJobKey(Item.Key);
-  if (Key && !Key->IsCancel)
-    this->JobRecords.forget(Key->Id, Item.Revision);
+  if (!Key || Key->IsCancel)
+    return;
+  this->JobRecords.forget(Key->Id, Item.Revision);
+  this->Writer->forgetRevision(RecordKeys::progress(Key->Id), Item.Revision);
 }
 
 void LeaderTask::Term::watchJobs(int64_t Revision) {
@@ -321,18 +327,14 @@
 }
 
 void LeaderTask::Term::removeExpiredJobs() {
-  std::vector<std::string> Keys;
   for (size_t I = 0; I < MaxRemovalsPerCheck && !this->Finished.empty() &&
                      this->Finished.front().first <= this->now();
        ++I) {
     JobId Id = std::move(this->Finished.front().second);
     this->Finished.pop_front();
-    Keys.push_back(RecordKeys::job(Id));
-    Keys.push_back(RecordKeys::cancel(Id));
-    Keys.push_back(RecordKeys::progress(Id));
+    if (std::optional<int64_t> Revision = this->JobRecords.revision(Id))
+      this->Writer->removeJob({Id, *Revision});
   }
-  if (!Keys.empty())
-    this->Writer->removeRecords(std::move(Keys));
 }
 
 /// Checks for expired leases, workers that have left and records past their
--- a/libs/control/src/LoadedRecords.h
+++ b/libs/control/src/LoadedRecords.h
@@ -1,6 +1,7 @@
 #ifndef VANILLAYARD_CONTROL_LOADEDRECORDS_H
 #define VANILLAYARD_CONTROL_LOADEDRECORDS_H
 
+#include "JobRemoval.h"
 #include "base/Ids.h"
 #include "fleet/BatchJob.h"
 #include "fleet/JobProgress.h"
@@ -17,11 +18,12 @@
     BatchJob Job;
     JobProgress Progress;
     int64_t JobRevision = 0;
-    /// Revision of the progress record; 0 if there is none.
     int64_t ProgressRevision = 0;
   };
 
   std::vector<LoadedJob> Jobs;
+  /// Finished jobs whose deletion an earlier leader did not complete.
+  std::vector<JobRemoval> DeletedInPart;
   std::vector<JobId> Cancelled;
   /// Workers that may have runs of an earlier leader.
   std::vector<WorkerId> RecordedWorkers;
--- a/libs/control/src/ProgressWriter.cpp
+++ b/libs/control/src/ProgressWriter.cpp
@@ -28,6 +28,9 @@
 static constexpr absl::Duration ProbeInterval = absl::Milliseconds(300);
 /// Transaction entries per written record: the put and its condition.
 static constexpr size_t EntriesPerPut = 2;
+/// Transaction entries per deleted job: the condition, or two conditions if
+/// only two records are deleted, and the records.
+static constexpr size_t EntriesPerRemoval = 4;
 /// Maximum number of records other than progress in one transaction.
 static constexpr size_t MaxExtraPuts = 4;
 
@@ -54,9 +57,8 @@
   this->requestWrite();
 }
 
-void ProgressWriter::removeRecords(std::vector<std::string> Keys) {
-  for (std::string &Key : Keys)
-    this->Removes.push_back(std::move(Key));
+void ProgressWriter::removeJob(JobRemoval Removal) {
+  this->Removals.push_back(std::move(Removal));
   this->requestWrite();
 }
 
@@ -78,6 +80,12 @@
   Known = std::max(Known, Revision);
 }
 
+void ProgressWriter::forgetRevision(const std::string &Key, int64_t DeletedAt) {
+  auto Known = this->Revisions.find(Key);
+  if (Known != this->Revisions.end() && Known->second < DeletedAt)
+    this->Revisions.erase(Known);
+}
+
 int64_t ProgressWriter::knownRevision(const std::string &Key) const {
   auto Known = this->Revisions.find(Key);
   return Known == this->Revisions.end() ? 0 : Known->second;
@@ -89,6 +97,21 @@
   Transaction.Puts.push_back({Key, std::move(Value), 0});
 }
 
+/// Adds the deletion of all records of a job. A leader that finds a job's
+/// record alone can't tell what has become of the job, so they are never split.
+void ProgressWriter::addRemoval(StoreTransaction &Transaction,
+                                const JobRemoval &Removal) {
+  std::string JobKey = RecordKeys::job(Removal.Id);
+  std::string ProgressKey = RecordKeys::progress(Removal.Id);
+  Transaction.Conditions.push_back({JobKey, Removal.JobRevision});
+  if (!Removal.HasProgress)
+    Transaction.Conditions.push_back({ProgressKey, 0});
+  Transaction.Removes.push_back(std::move(JobKey));
+  Transaction.Removes.push_back(RecordKeys::cancel(Removal.Id));
+  if (Removal.HasProgress)
+    Transaction.Removes.push_back(std::move(ProgressKey));
+}
+
 absl::flat_hash_set<JobId> ProgressWriter::jobsInFlight() const {
   absl::flat_hash_set<JobId> Jobs;
   for (const auto &[Id, Write] : this->InFlight)
@@ -137,18 +160,19 @@
     }
     this->addPut(Transaction, Key, std::move(Value));
   }
-  while (!AreOthersInFlight && !this->Removes.empty() &&
-         Transaction.entryCount() < StoreTransaction::MaxEntries) {
-    this->Revisions.erase(this->Removes.back());
-    Transaction.Removes.push_back(this->Removes.back());
-    Sent.Removes.push_back(std::move(this->Removes.back()));
-    this->Removes.pop_back();
+  while (!AreOthersInFlight && !this->Removals.empty() &&
+         Transaction.entryCount() + EntriesPerRemoval <=
+             StoreTransaction::MaxEntries) {
+    JobRemoval &Next = this->Removals.front();
+    addRemoval(Transaction, Next);
+    Sent.Removals.push_back(std::move(Next));
+    this->Removals.pop_front();
   }
   // A transaction that would be empty shows that all changes are recorded or in
   // flight.
   bool IsEmpty = Transaction.entryCount() == 1;
   if (!IsEmpty) {
-    Write.HasOtherRecords = !Sent.Puts.empty() || !Sent.Removes.empty();
+    Write.HasOtherRecords = !Sent.Puts.empty() || !Sent.Removals.empty();
     this->InFlight.emplace(Id, std::move(Write));
   }
   this->noteEnds();
@@ -258,6 +282,7 @@
       IsLeader |= Item.Key == RecordKeys::Leader && Item.Revision == SentUnder;
     if (IsLeader) {
       this->adoptRevisions(Result->Found, Sent);
+      this->dropFutileRemovals(Result->Found, Sent);
     } else {
       if (SentUnder == this->LeaderKeyRevision)
         this->OwnerRef.leaderKeyMissing();
@@ -266,7 +291,7 @@
   } else {
     this->Events.warning("leader", "progress records could not be written",
                          {{"records", Sent.Changes.size()},
-                          {"deletions", Sent.Removes.size()},
+                          {"deletions", Sent.Removals.size()},
                           {"error", Result.status()}});
     Delay = RetryDelay;
   }
@@ -285,18 +310,43 @@
   for (const ExtraPut &Put : Sent.Puts)
     this->Revisions.erase(Put.Key);
   for (const StoreItem &Item : Found)
-    if (Item.Key != RecordKeys::Leader)
+    if (Item.Key != RecordKeys::Leader &&
+        !RecordKeys::parseJobKey(Item.Key).has_value())
       this->Revisions[Item.Key] = Item.Revision;
 }
 
+/// Drops the deletions whose records are not those that the deletion was
+/// decided from: it was applied before, but its answer was lost, and the id may
+/// be that of another job since.
+void ProgressWriter::dropFutileRemovals(const std::vector<StoreItem> &Found,
+                                        Batch &Sent) {
+  std::erase_if(Sent.Removals, [&](const JobRemoval &Removal) {
+    bool IsRecordFound = false;
+    bool IsProgressFound = false;
+    for (const StoreItem &Item : Found) {
+      IsRecordFound |= Item.Key == RecordKeys::job(Removal.Id) &&
+                       Item.Revision == Removal.JobRevision;
+      IsProgressFound |= Item.Key == RecordKeys::progress(Removal.Id);
+    }
+    bool IsFutile = !IsRecordFound || (IsProgressFound && !Removal.HasProgress);
+    if (IsFutile)
+      this->Events.info("leader", "records of a job are not deleted",
+                        {{"job", Removal.Id},
+                         {"revision", Removal.JobRevision},
+                         {"record", IsRecordFound ? "unchanged" : "gone"}});
+    return IsFutile;
+  });
+}
+
 void ProgressWriter::requeue(Batch Sent) {
   for (const ProgressChange &Change : Sent.Changes)
     this->JobScheduler.progressWriteFailed(Change.Job);
   std::move(this->ExtraPuts.begin(), this->ExtraPuts.end(),
             std::back_inserter(Sent.Puts));
   this->ExtraPuts = std::move(Sent.Puts);
-  std::move(Sent.Removes.begin(), Sent.Removes.end(),
-            std::back_inserter(this->Removes));
+  this->Removals.insert(this->Removals.begin(),
+                        std::make_move_iterator(Sent.Removals.begin()),
+                        std::make_move_iterator(Sent.Removals.end()));
   this->IsWriteRequested = true;
 }
 
@@ -317,7 +367,7 @@
       this->JobScheduler.hasUnrecordedUrgentPlacements())
     this->flush();
   else if (this->IsWriteRequested || this->JobScheduler.hasChanges() ||
-           !this->ExtraPuts.empty() || !this->Removes.empty())
+           !this->ExtraPuts.empty() || !this->Removals.empty())
     this->scheduleFlush(CollectTime);
 }
 
--- a/libs/control/src/ProgressWriter.h
+++ b/libs/control/src/ProgressWriter.h
@@ -1,6 +1,7 @@
 #ifndef VANILLAYARD_CONTROL_PROGRESSWRITER_H
 #define VANILLAYARD_CONTROL_PROGRESSWRITER_H
 
+#include "JobRemoval.h"
 #include "RunEndCursor.h"
 #include "base/Executor.h"
 #include "scheduler/ProgressChange.h"
@@ -14,6 +15,7 @@
 #include "absl/time/time.h"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -72,6 +74,8 @@
 
   /// Raises the revision that the store's record is known to have.
   void noteRevision(const std::string &Key, int64_t Revision);
+  /// Forgets the revision of a record that was deleted at \p DeletedAt.
+  void forgetRevision(const std::string &Key, int64_t DeletedAt);
   /// Schedules a write of everything that has changed.
   void requestWrite();
   /// The same, without the delay that collects changes.
@@ -80,8 +84,9 @@
   /// success.
   void putRecord(std::string Key, std::string Value,
                  std::function<void()> Done);
-  /// Deletes records, with retries.
-  void removeRecords(std::vector<std::string> Keys);
+  /// Deletes all records of a job in one transaction, with retries, unless the
+  /// job's record has another revision than \p Removal names.
+  void removeJob(JobRemoval Removal);
 
   void close() { this->IsClosed = true; }
 
@@ -97,7 +102,7 @@
   struct Batch {
     std::vector<ProgressChange> Changes;
     std::vector<ExtraPut> Puts;
-    std::vector<std::string> Removes;
+    std::vector<JobRemoval> Removals;
   };
   /// A transaction without an answer.
   struct PendingWrite {
@@ -114,6 +119,8 @@
   int64_t knownRevision(const std::string &Key) const;
   void addPut(StoreTransaction &Transaction, const std::string &Key,
               std::string Value) const;
+  static void addRemoval(StoreTransaction &Transaction,
+                         const JobRemoval &Removal);
   absl::flat_hash_set<JobId> jobsInFlight() const;
   bool isFull() const;
   std::string markRecord(std::string Record, uint64_t Id) const;
@@ -126,6 +133,7 @@
   void releaseEnds();
   void requeue(Batch Sent);
   void adoptRevisions(const std::vector<StoreItem> &Found, const Batch &Sent);
+  void dropFutileRemovals(const std::vector<StoreItem> &Found, Batch &Sent);
   void commitSucceeded(int64_t Revision, const Batch &Sent);
   void scheduleFlush(absl::Duration Delay);
 
@@ -138,7 +146,8 @@
   /// Known revision in the store of each record, by key.
   absl::flat_hash_map<std::string, int64_t> Revisions;
   std::vector<ExtraPut> ExtraPuts;
-  std::vector<std::string> Removes;
+  /// Jobs whose records are to be deleted, in the order of the requests.
+  std::deque<JobRemoval> Removals;
   std::map<uint64_t, PendingWrite> InFlight;
   uint64_t NextWrite = 1;
   bool IsFlushScheduled = false;
--- a/libs/control/tests/LeaderTaskTest.cpp
+++ b/libs/control/tests/LeaderTaskTest.cpp
@@ -798,6 +798,71 @@
   EXPECT_FALSE(this->Cluster.Store.has(RecordKeys::job(JobId(Id))));
 }
 
+// Guards against finished jobs that run again: the leader ends while it deletes
+// their records from a slow store.
+TEST_F(LeaderTaskTest, LeaderThatEndsWhileItDeletesJobsRepeatsNone) {
+  for (int I = 10; I < 58; ++I)
+    this->Cluster.submit(this->host("a"), "00000000000000" + std::to_string(I),
+                         this->Cluster.job(1, 1));
+  this->Cluster.runFor(absl::Seconds(145));
+  ASSERT_EQ(this->Cluster.Farm.StartedRuns.size(), 48U);
+  size_t Records = this->Cluster.Store.countWithPrefix("vy/job/");
+  ASSERT_EQ(Records, 48U);
+  this->Cluster.Store.Latency = absl::Milliseconds(400);
+  // The second transaction that deletes records is full, as the store is slow.
+  int Deletions = 0;
+  for (int I = 0; I < 2000 && Deletions < 2; ++I) {
+    this->Cluster.runFor(absl::Milliseconds(10));
+    size_t Left = this->Cluster.Store.countWithPrefix("vy/job/");
+    Deletions += std::exchange(Records, Left) != Left ? 1 : 0;
+  }
+  ASSERT_GT(Records, 0U);
+  this->Cluster.killHost(this->Cluster.leaderName());
+  this->Cluster.runFor(absl::Seconds(200));
+  EXPECT_EQ(this->repeatedStarts(), 0U);
+  EXPECT_EQ(this->Cluster.Store.countWithPrefix("vy/job/"), 0U);
+  EXPECT_EQ(this->Cluster.Store.countWithPrefix("vy/progress/"), 0U);
+}
+
+// Guards against a finished job that runs again because a build that deleted
+// its records one by one has left one of them.
+TEST_F(LeaderTaskTest, JobRecordWithoutProgressIsDeleted) {
+  this->Cluster.submit(this->host("a"), Id, this->Cluster.job(1, 8));
+  this->Cluster.runFor(absl::Seconds(5));
+  StoreTransaction Partial;
+  Partial.Removes = {RecordKeys::progress(JobId(Id))};
+  this->Cluster.Store.commit(std::move(Partial),
+                             [](const absl::StatusOr<StoreCommit> &) {});
+  this->Cluster.killHost(this->Cluster.leaderName());
+  this->Cluster.runFor(absl::Seconds(10));
+  ASSERT_NE(this->Cluster.leader(), nullptr);
+  EXPECT_EQ(this->repeatedStarts(), 0U);
+  EXPECT_FALSE(this->Cluster.Store.has(RecordKeys::job(JobId(Id))));
+}
+
+// Guards against an accepted job that is deleted: the answer to the deletion of
+// an earlier job with its id was lost, and the deletion is repeated.
+TEST_F(LeaderTaskTest, RepeatedDeletionSparesANewJobOfTheSameId) {
+  this->Cluster.submit(this->host("a"), Id, this->Cluster.job(1, 8));
+  this->Cluster.runFor(absl::Seconds(145));
+  ASSERT_TRUE(this->Cluster.Store.has(RecordKeys::job(JobId(Id))));
+  bool IsFirst = true;
+  this->Cluster.Store.Faults = [&IsFirst](const std::string &Call) {
+    return Call == "commit" && std::exchange(IsFirst, false)
+               ? StoreFault::LoseAnswer
+               : StoreFault::None;
+  };
+  for (int I = 0; I < 1000 && IsFirst; ++I)
+    this->Cluster.runFor(absl::Milliseconds(10));
+  this->Cluster.runFor(absl::Milliseconds(100));
+  ASSERT_FALSE(this->Cluster.Store.has(RecordKeys::job(JobId(Id))));
+  this->Cluster.submit(this->standby(), Id, this->Cluster.job(1, 8));
+  this->Cluster.runFor(absl::Seconds(10));
+  EXPECT_EQ(this->Cluster.Farm.StartedRuns.size(), 2U);
+  ASSERT_TRUE(this->Cluster.state(this->host("a"), Id).ok());
+  EXPECT_EQ(*this->Cluster.state(this->host("a"), Id), BatchState::Done);
+}
+
 // Guards against a job that never runs because its id is that of a job that the
 // leader has deleted.
 TEST_F(LeaderTaskTest, IdOfADeletedJobCanBeUsedAgain) {
