Replace no progress record that the leader has not read

A write that the store refuses because of a revision took the revision found for that of an earlier unanswered write, and replaced the record.

Each progress record now carries the mark of the writer's term. A record with another revision is replaced only if it carries the mark, which shows that an unanswered write was applied. Otherwise the leader gives up its role, and the next one reads all records.

ProgressThatTheLeaderHasNotReadIsNotReplaced failed before the change. The tests of lost answers and the fuzz pass, so own writes are recognised.

--- a/libs/control/src/LeaderTaskImpl.cpp
+++ b/libs/control/src/LeaderTaskImpl.cpp
@@ -246,12 +246,24 @@
 }
 
 void LeaderTask::Term::fenced() {
-  if (!this->IsEnded)
-    this->Links.Exec.post([Weak = this->weak_from_this()] {
-      std::shared_ptr<Term> Self = Weak.lock();
-      if (Self && !Self->IsEnded)
-        Self->Links.Role.stepDown();
-    });
+  this->stepDownSoon();
+}
+
+/// The next leader, which may be this host again, reads all records anew.
+void LeaderTask::Term::recordsDiffer() {
+  this->AreJobsCurrent = false;
+  this->stepDownSoon();
+}
+
+/// Gives the role up once the callers of this object have returned.
+void LeaderTask::Term::stepDownSoon() {
+  if (this->IsEnded)
+    return;
+  this->Links.Exec.post([Weak = this->weak_from_this()] {
+    std::shared_ptr<Term> Self = Weak.lock();
+    if (Self && !Self->IsEnded)
+      Self->Links.Role.stepDown();
+  });
 }
 
 void LeaderTask::Term::leaderKeyMissing() {
--- a/libs/control/src/LeaderTaskImpl.h
+++ b/libs/control/src/LeaderTaskImpl.h
@@ -69,6 +69,7 @@
   RunEndCursors processedEnds() const override;
   void endsRecorded(const RunEndCursors &Ends) override;
   void leaderKeyMissing() override;
+  void recordsDiffer() override;
   void progressWritten(const ProgressChange &Change) override;
   void transactionWritten() override;
 
@@ -96,6 +97,7 @@
   void removeExpiredJobs();
   void requestPlan();
   bool mayGiveOrders() const;
+  void stepDownSoon();
   void plan();
   void sendOrders(const Orders &Round);
   absl::Time now() const { return this->Links.Exec.now(); }
--- a/libs/control/src/ProgressWriter.cpp
+++ b/libs/control/src/ProgressWriter.cpp
@@ -6,10 +6,13 @@
 #include "scheduler/Scheduler.h"
 #include "store/CoordinationStore.h"
 
+#include "absl/strings/match.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <iterator>
+#include <string_view>
 #include <utility>
 
 namespace vanillayard {
@@ -152,9 +155,8 @@
   uint64_t Id = this->NextWrite++;
   for (const ProgressChange &Change : Sent.Changes) {
     std::string Key = RecordKeys::progress(Change.Job);
-    std::string Value = Change.Record;
+    std::string Value = this->markRecord(Change.Record, Id);
     if (Write.ProbeKey.empty()) {
-      Value = this->markRecord(std::move(Value), Id);
       Write.ProbeKey = Key;
       Write.ProbeValue = Value;
     }
@@ -180,13 +182,21 @@
     this->send(std::move(Transaction), Id);
 }
 
+static std::string termMark(int64_t Term) {
+  return fmt::format(R"(,"write":"{}.)", Term);
+}
+
 /// Adds a field to a record that no other transaction writes.
 std::string ProgressWriter::markRecord(std::string Record, uint64_t Id) const {
-  Record.insert(Record.size() - 1, fmt::format(R"(,"write":"{}.{}")",
-                                               this->LeaderKeyRevision, Id));
+  Record.insert(Record.size() - 1,
+                fmt::format(R"({}{}")", termMark(this->Term), Id));
   return Record;
 }
 
+bool ProgressWriter::isOwnRecord(const StoreItem &Item) const {
+  return absl::StrContains(Item.Value, termMark(this->Term));
+}
+
 /// Notes that the ends processed so far are recorded once all transactions in
 /// flight are applied, unless changes are left that none of them holds.
 void ProgressWriter::noteEnds() {
@@ -281,7 +291,8 @@
     for (const StoreItem &Item : Result->Found)
       IsLeader |= Item.Key == RecordKeys::Leader && Item.Revision == SentUnder;
     if (IsLeader) {
-      this->adoptRevisions(Result->Found, Sent);
+      if (!this->adoptRevisions(Result->Found, Sent))
+        return this->OwnerRef.recordsDiffer();
       this->dropFutileRemovals(Result->Found, Sent);
     } else {
       if (SentUnder == this->LeaderKeyRevision)
@@ -301,18 +312,41 @@
 
 /// Adopts the revisions found in the store. They differ from the known ones if
 /// the store applied an earlier write but its answer was lost.
-void ProgressWriter::adoptRevisions(const std::vector<StoreItem> &Found,
+/// \returns false if a progress record was written by another writer or is
+/// gone,
+///          so that this leader doesn't know the progress of the job.
+bool ProgressWriter::adoptRevisions(const std::vector<StoreItem> &Found,
                                     const Batch &Sent) {
   this->Events.info("leader", "records do not have the expected revisions",
                     {{"records", Sent.Changes.size()}});
-  for (const ProgressChange &Change : Sent.Changes)
-    this->Revisions.erase(RecordKeys::progress(Change.Job));
-  for (const ExtraPut &Put : Sent.Puts)
-    this->Revisions.erase(Put.Key);
+  absl::flat_hash_map<std::string_view, const StoreItem *> FoundByKey;
   for (const StoreItem &Item : Found)
-    if (Item.Key != RecordKeys::Leader &&
-        !RecordKeys::parseJobKey(Item.Key).has_value())
-      this->Revisions[Item.Key] = Item.Revision;
+    FoundByKey.emplace(Item.Key, &Item);
+  bool IsEachKnown = true;
+  for (const ProgressChange &Change : Sent.Changes) {
+    std::string Key = RecordKeys::progress(Change.Job);
+    auto Item = FoundByKey.find(Key);
+    int64_t Revision = Item == FoundByKey.end() ? 0 : Item->second->Revision;
+    if (Revision == this->knownRevision(Key))
+      continue;
+    if (Revision != 0 && this->isOwnRecord(*Item->second)) {
+      this->Revisions[Key] = Revision;
+      continue;
+    }
+    IsEachKnown = false;
+    this->Events.error("leader", "progress record is not the one that was read",
+                       {{"job", Change.Job},
+                        {"expected", this->knownRevision(Key)},
+                        {"found", Revision}});
+  }
+  for (const ExtraPut &Put : Sent.Puts) {
+    auto Item = FoundByKey.find(Put.Key);
+    if (Item == FoundByKey.end())
+      this->Revisions.erase(Put.Key);
+    else
+      this->Revisions[Put.Key] = Item->second->Revision;
+  }
+  return IsEachKnown;
 }
 
 /// Drops the deletions whose records are not those that the deletion was
--- a/libs/control/src/ProgressWriter.h
+++ b/libs/control/src/ProgressWriter.h
@@ -38,7 +38,9 @@
 ///
 /// Every transaction is conditional on the revision of the leader's key, so
 /// that a former leader changes nothing, and on the revision of each record, so
-/// that a write whose answer was lost cannot replace a newer one later.
+/// that a write whose answer was lost cannot replace a newer one later. A
+/// record with another revision is replaced only if its mark shows that this
+/// writer has written it.
 class ProgressWriter : public std::enable_shared_from_this<ProgressWriter> {
 public:
   /// Supplies and receives positions of ended runs, and is notified of results.
@@ -53,6 +55,9 @@
     /// The store has another leader's key than the one that this host wrote, or
     /// none. The write is retried.
     virtual void leaderKeyMissing() = 0;
+    /// The store has a progress record that neither this writer has written nor
+    /// this leader has read. Nothing may be decided from the known state.
+    virtual void recordsDiffer() = 0;
     /// The change is in the store.
     virtual void progressWritten(const ProgressChange &Change) = 0;
     /// All changes of a transaction have been passed to progressWritten().
@@ -66,7 +71,7 @@
                  int64_t LeaderKeyRevision, Log &Events)
       : Exec(Exec), Store(Store), JobScheduler(JobScheduler),
         OwnerRef(OwnerRef), LeaderKeyRevision(LeaderKeyRevision),
-        Events(Events) {}
+        Term(LeaderKeyRevision), Events(Events) {}
 
   void setLeaderKeyRevision(int64_t Revision) {
     this->LeaderKeyRevision = Revision;
@@ -124,6 +129,7 @@
   absl::flat_hash_set<JobId> jobsInFlight() const;
   bool isFull() const;
   std::string markRecord(std::string Record, uint64_t Id) const;
+  bool isOwnRecord(const StoreItem &Item) const;
   void send(StoreTransaction Transaction, uint64_t Id);
   void probeLater(uint64_t Id);
   void probeAnswered(uint64_t Id,
@@ -132,7 +138,7 @@
   void noteEnds();
   void releaseEnds();
   void requeue(Batch Sent);
-  void adoptRevisions(const std::vector<StoreItem> &Found, const Batch &Sent);
+  bool adoptRevisions(const std::vector<StoreItem> &Found, const Batch &Sent);
   void dropFutileRemovals(const std::vector<StoreItem> &Found, Batch &Sent);
   void commitSucceeded(int64_t Revision, const Batch &Sent);
   void scheduleFlush(absl::Duration Delay);
@@ -142,6 +148,8 @@
   Scheduler &JobScheduler;
   Owner &OwnerRef;
   int64_t LeaderKeyRevision;
+  /// Names this writer in the marks of its records.
+  int64_t Term;
   Log &Events;
   /// Known revision in the store of each record, by key.
   absl::flat_hash_map<std::string, int64_t> Revisions;
--- a/libs/control/tests/LeaderTaskTest.cpp
+++ b/libs/control/tests/LeaderTaskTest.cpp
@@ -1,5 +1,6 @@
 #include "SimulatedCluster.h"
 #include "control/RecordKeys.h"
+#include "fleet/JobProgressCodec.h"
 
 #include <gtest/gtest.h>
 
@@ -863,6 +864,24 @@
   EXPECT_EQ(*this->Cluster.state(this->host("a"), Id), BatchState::Done);
 }
 
+// Guards against a finished job that runs again because the leader replaces a
+// progress record that it has not read.
+TEST_F(LeaderTaskTest, ProgressThatTheLeaderHasNotReadIsNotReplaced) {
+  this->Cluster.submit(this->host("a"), Id, this->Cluster.job(1, 8));
+  for (int I = 0; I < 20 && this->Cluster.SubmitAnswers.empty(); ++I)
+    this->Cluster.runFor(absl::Milliseconds(1));
+  BatchJob Job = this->Cluster.Jobs.at(Id);
+  Job.Queue = "renders";
+  JobProgress Done(Job);
+  Done.State = BatchState::Done;
+  this->Cluster.Store.put(RecordKeys::progress(JobId(Id)),
+                          encodeProgress(Job, Done));
+  this->Cluster.runFor(absl::Seconds(10));
+  ASSERT_NE(this->Cluster.leader(), nullptr);
+  EXPECT_EQ(this->Cluster.Farm.StartedRuns.size(), 0U);
+  EXPECT_EQ(*this->Cluster.state(this->host("a"), Id), BatchState::Done);
+}
+
 // Guards against a job that never runs because its id is that of a job that the
 // leader has deleted.
 TEST_F(LeaderTaskTest, IdOfADeletedJobCanBeUsedAgain) {
