Bound leases by the calls that a restarted worker may have received

Cause: a new incarnation takes the calls that were meant for the former one. It reads the end of the lease, a time on the former clock, on its own clock and so grants its longest lease, while the leader believed in the shorter one that it had asked for. Starts, renewals and starts without an answer are hit.

Ruled out by a trial: an acknowledgement for the former incarnation that hides later ends.

WorkerLeaseBound remembers the calls that the intended incarnation has not answered. Once a restart is known, each holds for the longest lease. The run of an unanswered start waits for it, too; other runs of its worker don't.

--- a/libs/control/include/control/LeaderOptions.h
+++ b/libs/control/include/control/LeaderOptions.h
@@ -19,6 +19,9 @@
   /// failed together: 2.5 s until the old leader's lease expires, plus the
   /// start of the hosts.
   static constexpr absl::Duration PreferredWorkerLease = absl::Seconds(6);
+  /// Longest lease that workers grant, also if a call names a later end. Not
+  /// less than WorkerLease.
+  absl::Duration LongestWorkerLease = PreferredWorkerLease;
   /// Minimum time for which the records of a finished job are kept.
   absl::Duration Retention = absl::Seconds(120);
   /// Interval between two reads of the workers' registrations.
--- a/libs/control/include/control/testing/FakeWorkerFarm.h
+++ b/libs/control/include/control/testing/FakeWorkerFarm.h
@@ -30,6 +30,9 @@
     ApplyLate,
     /// No answer, and never applied.
     Drop,
+    /// Arrives LateBy later, at the incarnation that the worker has then, which
+    /// applies and answers it.
+    Delay,
   };
   /// A run that a worker has started, recorded for the test's checks.
   struct StartedRun {
@@ -87,6 +90,9 @@
   void setDraining(const WorkerId &Id, bool IsDraining);
   /// The worker crashes and restarts at once: its runs and its state are lost.
   void restart(const WorkerId &Id);
+  /// The renewals that wait at the worker get no answer; their callers give them
+  /// up 1 s later.
+  void loseWaitingRenewals(const WorkerId &Id);
   /// Removes or restores the registration; the worker itself keeps running.
   void setRegistered(const WorkerId &Id, bool IsRegistered);
   /// Number of active runs on all workers.
--- a/libs/control/src/LeaderTaskImpl.cpp
+++ b/libs/control/src/LeaderTaskImpl.cpp
@@ -231,8 +231,8 @@
 }
 
 void LeaderTask::Term::startAnswered(const StartOrder &Order,
-                                     OrderAnswer Answer) {
-  this->JobScheduler.startAnswered(Order, Answer, this->now());
+                                     OrderAnswer Answer, absl::Time HeldUntil) {
+  this->JobScheduler.startAnswered(Order, Answer, this->now(), HeldUntil);
   if (this->JobScheduler.hasChanges())
     this->Writer->requestWrite();
   if (Answer != OrderAnswer::Accepted)
--- a/libs/control/src/LeaderTaskImpl.h
+++ b/libs/control/src/LeaderTaskImpl.h
@@ -61,7 +61,8 @@
   void runsLost(const WorkerId &Worker) override;
   void restarted(const WorkerId &Worker) override;
   void usabilityChanged(const WorkerId &Worker) override;
-  void startAnswered(const StartOrder &Order, OrderAnswer Answer) override;
+  void startAnswered(const StartOrder &Order, OrderAnswer Answer,
+                     absl::Time HeldUntil) override;
   void stopAnswered(const StopOrder &Order, bool IsAnswered) override;
   void fenced() override;
 
--- a/libs/control/src/LeaderTaskWorkers.cpp
+++ b/libs/control/src/LeaderTaskWorkers.cpp
@@ -47,7 +47,8 @@
   this->Drivers.emplace(
       Registration.Id,
       std::make_shared<WorkerDriver>(this->Links.Exec, this->Links.Gateway,
-                                     *this, Registration, LeaseEndsBy));
+                                     *this, Registration, LeaseEndsBy,
+                                     this->Options.LongestWorkerLease));
 }
 
 void LeaderTask::Term::applyRegistrations(
@@ -154,7 +155,7 @@
 }
 
 void LeaderTask::Term::runsLost(const WorkerId &Worker) {
-  this->JobScheduler.workerLeaseExpired(Worker);
+  this->JobScheduler.workerLeaseExpired(Worker, this->now());
   this->UnreportedWorkers.erase(Worker);
   this->settleIfAllRunsKnown();
   this->refreshUsable(Worker);
@@ -187,7 +188,7 @@
     if (this->now() < this->earlierLeasesEnd())
       return false;
     // A worker without a driver has not registered since this term began.
-    this->JobScheduler.workerLeaseExpired(Id);
+    this->JobScheduler.workerLeaseExpired(Id, this->now());
     this->JobScheduler.removeWorker(Id);
     return true;
   });
--- a/libs/control/src/WorkerClock.h
+++ b/libs/control/src/WorkerClock.h
@@ -1,6 +1,8 @@
 #ifndef VANILLAYARD_CONTROL_WORKERCLOCK_H
 #define VANILLAYARD_CONTROL_WORKERCLOCK_H
 
+#include "absl/time/time.h"
+
 namespace vanillayard {
 
 /// Minimum rate of a worker's clock relative to the host's. From the platform's
@@ -10,6 +12,10 @@
 /// in the other direction.
 inline constexpr double FastestWorkerClock = 1.02;
 
+/// Maximum time after which a worker may still execute an unanswered call: 12 s
+/// by the platform's description of late orders, plus the duration of a call.
+inline constexpr absl::Duration LongestOrderDelay = absl::Seconds(13);
+
 } // namespace vanillayard
 
 #endif
--- a/libs/control/src/WorkerDriver.cpp
+++ b/libs/control/src/WorkerDriver.cpp
@@ -18,9 +18,6 @@
 static constexpr absl::Duration StartTimeout = absl::Milliseconds(500);
 /// Maximum number of retries of a start order that is not answered.
 static constexpr int MaxStartRetries = 2;
-/// Maximum time after which a worker may still execute an unanswered call: 12 s
-/// by the platform's description of late orders, plus the duration of a call.
-static constexpr absl::Duration LongestOrderDelay = absl::Seconds(13);
 /// Time from a report to the next renewal while ends wait to be recorded, which
 /// is long only in an outage of the store.
 static constexpr absl::Duration UnrecordedPollInterval =
@@ -31,10 +28,11 @@
 WorkerDriver::WorkerDriver(Executor &Exec, WorkerGateway &Gateway,
                            Owner &OwnerRef,
                            const WorkerRegistration &Registration,
-                           absl::Time LeaseEndsBy)
+                           absl::Time LeaseEndsBy, absl::Duration LongestLease)
     : Exec(Exec), Gateway(Gateway), OwnerRef(OwnerRef),
       Registration(Registration), ClockAt(Exec.now()),
-      IncarnationSeenAt(Exec.now()), LeaseEndsBy(LeaseEndsBy) {}
+      IncarnationSeenAt(Exec.now()), LeaseBound(LongestLease, LeaseEndsBy),
+      LongestLease(LongestLease) {}
 
 /// Applies a reading that the worker has sent in a report or, once a report has
 /// shown the clock of this incarnation, in the answer to an order.
@@ -61,14 +59,11 @@
     this->noteWorkerClock(Reading);
 }
 
-/// Whether a reading taken after \p SentAt is below what the clock must have
-/// shown at \p SentAt, which means that the worker has restarted.
-bool WorkerDriver::isEarlierThanKnown(absl::Duration Reading,
-                                      absl::Time SentAt) const {
-  absl::Duration Since = SentAt - this->ClockAt;
-  double Rate =
-      Since > absl::ZeroDuration() ? SlowestWorkerClock : FastestWorkerClock;
-  return Reading < this->Clock + Since * Rate;
+/// Lowest reading that the clock of the known incarnation can show now. A lower
+/// one in an answer to a call that is sent now means that the worker has
+/// restarted.
+absl::Duration WorkerDriver::lowestClockNow() const {
+  return this->Clock + (this->Exec.now() - this->ClockAt) * SlowestWorkerClock;
 }
 
 /// Discards the state kept for the previous incarnation. The new incarnation
@@ -82,9 +77,8 @@
   this->Clock = absl::ZeroDuration();
   this->ClockAt = Now;
   this->IsClockReported = false;
-  this->LeaseEndsBy =
-      std::max(this->LeaseEndsBy,
-               Now + this->OwnerRef.maxWorkerLease() / SlowestWorkerClock);
+  this->LeaseBound.incarnationEnded();
+  this->IsIncarnationOver = false;
   this->HasReported = false;
   this->ProcessedEnd = 0;
   this->RecordedEnd = 0;
@@ -146,16 +140,11 @@
   return true;
 }
 
-/// Extends the lease by the longest time allowed now.
-/// \returns the end of the lease on the worker's clock.
-absl::Duration WorkerDriver::extendLease() {
-  absl::Time Now = this->Exec.now();
-  absl::Duration Allowed = this->OwnerRef.maxWorkerLease();
-  absl::Duration Until = this->Clock + (Now - this->ClockAt) + Allowed;
-  absl::Time EndsBy =
-      this->ClockAt + (Until - this->Clock) / SlowestWorkerClock;
-  this->LeaseEndsBy = std::max(this->LeaseEndsBy, EndsBy);
-  return Until;
+/// The longest lease that may be granted now.
+WorkerDriver::Lease WorkerDriver::longestLeaseNow() const {
+  absl::Duration Until = this->Clock + (this->Exec.now() - this->ClockAt) +
+                         this->OwnerRef.maxWorkerLease();
+  return {Until, this->ClockAt + (Until - this->Clock) / SlowestWorkerClock};
 }
 
 bool WorkerDriver::needsRenewal() const {
@@ -187,33 +176,52 @@
                  this->OwnerRef.hasRuns(this->Registration.Id);
   WorkerGateway::Renewal Request;
   Request.Fence = this->OwnerRef.fence();
-  // The lease of a worker that does not answer must expire, because its tasks
-  // can run elsewhere only after that.
-  if (this->HasReported)
-    Request.LeaseUntil = this->extendLease();
   if (HasEndsToAcknowledge)
     Request.AcknowledgedEnd = this->RecordedEnd;
   Request.Wait = MayWait ? RenewWait : absl::ZeroDuration();
+  absl::Duration Timeout = Request.Wait + CallTimeout;
   RunEndCursor Acknowledged{this->Registration.Incarnation,
                             Request.AcknowledgedEnd};
   absl::Time AskedAt = this->Exec.now();
+  // The lease of a worker that does not answer must expire, because its tasks
+  // can run elsewhere only after that.
+  std::optional<WorkerLeaseBound::CallId> LeaseCall;
+  if (this->HasReported) {
+    Lease Granted = this->longestLeaseNow();
+    Request.LeaseUntil = Granted.Until;
+    LeaseCall =
+        this->LeaseBound.callSent(Granted.EndsBy, AskedAt, AskedAt + Timeout);
+  }
   absl::Time PendingBefore = this->PendingAcknowledgementSentAt;
   if (Acknowledged.Sequence > 0)
     this->PendingAcknowledgementSentAt = AskedAt;
   auto Answered = [Weak = this->weak_from_this(), Acknowledged, AskedAt,
-                   PendingBefore](const RenewReply &Reply) {
+                   LeaseCall, PendingBefore](const RenewReply &Reply) {
     std::shared_ptr<WorkerDriver> Self = Weak.lock();
     if (!Self || Self->IsClosed)
       return;
     Self->IsRenewing = false;
     Self->IsAcknowledging = false;
+    if (LeaseCall)
+      Self->leaseCallAnswered(*LeaseCall, Acknowledged.Incarnation, Reply);
     Self->acknowledgementAnswered(Acknowledged, Reply.Answer, PendingBefore);
     Self->renewalAnswered(Reply, AskedAt);
     Self->sendHeldStarts();
     Self->renewIfNeeded();
   };
-  this->Gateway.renew(this->target(), Request, Request.Wait + CallTimeout,
-                      std::move(Answered));
+  this->Gateway.renew(this->target(), Request, Timeout, std::move(Answered));
+}
+
+/// \param Target incarnation that the renewal was meant for.
+void WorkerDriver::leaseCallAnswered(WorkerLeaseBound::CallId Call,
+                                     int64_t Target, const RenewReply &Reply) {
+  if (Reply.Answer == OrderAnswer::Unknown)
+    this->LeaseBound.unanswered(Call);
+  else if (Reply.Answer == OrderAnswer::Accepted && Target != 0 &&
+           Reply.Report.Incarnation != Target)
+    this->LeaseBound.answeredByLaterIncarnation(Call, this->Exec.now());
+  else
+    this->LeaseBound.answeredByTarget(Call);
 }
 
 /// \param PendingBefore when the latest earlier acknowledgement that the worker
@@ -240,6 +248,7 @@
   const WorkerReport &Report = Reply.Report;
   if (!this->adoptReportedIncarnation(Report.Incarnation, AskedAt))
     return this->retryLater();
+  this->LeaseBound.incarnationConfirmed(AskedAt);
   this->noteWorkerClock(Report.Clock);
   this->HasReported = true;
   this->HasEverReported = true;
@@ -271,7 +280,7 @@
 }
 
 void WorkerDriver::checkLease() {
-  if (this->Exec.now() < this->LeaseEndsBy)
+  if (this->Exec.now() < this->leaseEndsBy())
     return;
   if (this->OwnerRef.hasRuns(this->Registration.Id))
     this->OwnerRef.runsLost(this->Registration.Id);
@@ -285,10 +294,10 @@
 }
 
 void WorkerDriver::start(const StartOrder &Order) {
-  if (!this->IsAcknowledging)
+  if (!this->IsAcknowledging && !this->IsIncarnationOver)
     return this->sendStart(Order);
   // From now on the worker may have this run, so the lease bound must cover it.
-  this->extendLease();
+  this->LeaseBound.extend(this->longestLeaseNow().EndsBy);
   this->HeldStarts.push_back(Order);
 }
 
@@ -297,43 +306,71 @@
     if (this->mayTakeRuns() && this->OwnerRef.mayStart(Order))
       this->sendStart(Order);
     else
-      this->OwnerRef.startAnswered(Order, OrderAnswer::Unavailable);
+      this->OwnerRef.startAnswered(Order, OrderAnswer::Unavailable,
+                                   absl::InfinitePast());
   }
 }
 
 void WorkerDriver::sendStart(const StartOrder &Order, int Retries) {
   ++this->StartsInFlight;
   absl::Time SentAt = this->Exec.now();
-  this->Gateway.start(this->target(), Order, this->OwnerRef.fence(),
-                      this->extendLease(), StartTimeout,
-                      [Weak = this->weak_from_this(), Order, SentAt,
-                       Retries](const OrderReply &Reply) {
-                        std::shared_ptr<WorkerDriver> Self = Weak.lock();
-                        if (Self && !Self->IsClosed)
-                          Self->startAnswered(Order, Reply, SentAt, Retries);
-                      });
+  Lease Granted = this->longestLeaseNow();
+  StartAttempt Attempt{
+      SentAt, this->lowestClockNow(),
+      this->LeaseBound.callSent(Granted.EndsBy, SentAt, SentAt + StartTimeout),
+      Retries};
+  this->Gateway.start(
+      this->target(), Order, this->OwnerRef.fence(), Granted.Until,
+      StartTimeout,
+      [Weak = this->weak_from_this(), Order, Attempt](const OrderReply &Reply) {
+        std::shared_ptr<WorkerDriver> Self = Weak.lock();
+        if (Self && !Self->IsClosed)
+          Self->startAnswered(Order, Reply, Attempt);
+      });
+}
+
+/// Applies what the answer shows about the incarnation that has sent it.
+/// \param IsLater whether it is a later one than the order was meant for.
+void WorkerDriver::noteAnsweringIncarnation(const OrderReply &Reply,
+                                            const StartAttempt &Attempt,
+                                            bool IsLater) {
+  if (Reply.Answer == OrderAnswer::Unknown)
+    return this->LeaseBound.unanswered(Attempt.LeaseCall);
+  if (!IsLater)
+    return this->LeaseBound.answeredByTarget(Attempt.LeaseCall);
+  this->LeaseBound.answeredByLaterIncarnation(Attempt.LeaseCall,
+                                              this->Exec.now());
+  // A report may have shown the later incarnation already.
+  if (Attempt.SentAt < this->IncarnationSeenAt)
+    return;
+  this->IsIncarnationOver = true;
+  this->LeaseBound.incarnationEnded();
 }
 
 void WorkerDriver::startAnswered(const StartOrder &Order, OrderReply Reply,
-                                 absl::Time SentAt, int Retries) {
+                                 const StartAttempt &Attempt) {
   --this->StartsInFlight;
-  bool HasRestarted =
-      Reply.Clock && this->isEarlierThanKnown(*Reply.Clock, SentAt);
+  bool HasRestarted = Reply.Clock && *Reply.Clock < Attempt.ClockAtLeast;
+  this->noteAnsweringIncarnation(Reply, Attempt, HasRestarted);
   if (Reply.Clock && !HasRestarted && this->IsClockReported)
     this->noteWorkerClock(*Reply.Clock);
   // A start order is idempotent: the worker starts each run only once.
-  bool MayRetry = Retries < MaxStartRetries && this->OwnerRef.mayStart(Order);
+  bool MayRetry = Attempt.Retries < MaxStartRetries &&
+                  !this->IsIncarnationOver && this->OwnerRef.mayStart(Order);
   if (Reply.Answer == OrderAnswer::Unknown && MayRetry)
-    return this->sendStart(Order, Retries + 1);
+    return this->sendStart(Order, Attempt.Retries + 1);
   // If a worker refuses a retry, the outcome of earlier attempts stays unknown:
   // the run may have started and ended, or may still start.
-  if (Retries > 0 && Reply.Answer != OrderAnswer::Accepted &&
+  if (Attempt.Retries > 0 && Reply.Answer != OrderAnswer::Accepted &&
       Reply.Answer != OrderAnswer::Fenced)
     Reply.Answer = OrderAnswer::Unknown;
   if (HasRestarted || Reply.Answer == OrderAnswer::Unknown ||
       Reply.Answer == OrderAnswer::WrongIncarnation)
     this->markSuspected();
-  this->OwnerRef.startAnswered(Order, Reply.Answer);
+  this->OwnerRef.startAnswered(
+      Order, Reply.Answer,
+      WorkerLeaseBound::longestLeaseEnd(Attempt.SentAt + StartTimeout,
+                                        this->LongestLease));
   if (Reply.Answer == OrderAnswer::Fenced)
     return this->OwnerRef.fenced();
   this->renewIfNeeded();
--- a/libs/control/src/WorkerDriver.h
+++ b/libs/control/src/WorkerDriver.h
@@ -2,6 +2,7 @@
 #define VANILLAYARD_CONTROL_WORKERDRIVER_H
 
 #include "RunEndCursor.h"
+#include "WorkerLeaseBound.h"
 #include "base/Executor.h"
 #include "control/WorkerGateway.h"
 #include "fleet/WorkerRegistration.h"
@@ -47,7 +48,10 @@
     /// The worker has restarted; it numbers the ends of its runs (RunEnd) from
     /// 1 again.
     virtual void restarted(const WorkerId &Worker) = 0;
-    virtual void startAnswered(const StartOrder &Order, OrderAnswer Answer) = 0;
+    /// \param HeldUntil if the answer is Unknown: when the run has ended at the
+    ///        latest if an incarnation that is not known yet has started it.
+    virtual void startAnswered(const StartOrder &Order, OrderAnswer Answer,
+                               absl::Time HeldUntil) = 0;
     /// \param IsAnswered whether the worker has accepted the order.
     virtual void stopAnswered(const StopOrder &Order, bool IsAnswered) = 0;
     /// mayTakeRuns() may have changed.
@@ -58,8 +62,10 @@
 
   /// \param LeaseEndsBy latest time at which every lease that an earlier leader
   ///        granted to this worker has expired.
+  /// \param LongestLease longest lease that the worker grants, on its clock.
   WorkerDriver(Executor &Exec, WorkerGateway &Gateway, Owner &OwnerRef,
-               const WorkerRegistration &Registration, absl::Time LeaseEndsBy);
+               const WorkerRegistration &Registration, absl::Time LeaseEndsBy,
+               absl::Duration LongestLease);
 
   /// Applies a newer registration. What the worker has reported itself goes
   /// before a registration, which another program may have written.
@@ -89,27 +95,48 @@
   }
   const WorkerRegistration &registration() const { return this->Registration; }
   /// Time by which every lease granted to the worker has expired.
-  absl::Time leaseEndsBy() const { return this->LeaseEndsBy; }
+  absl::Time leaseEndsBy() const { return this->LeaseBound.endsBy(); }
 
   /// Stops the driver, which then ignores outstanding answers.
   void close() { this->IsClosed = true; }
 
 private:
+  /// A lease that a call may grant.
+  struct Lease {
+    /// Its end on the worker's clock.
+    absl::Duration Until;
+    /// Its end at the latest on a worker whose clock is slow.
+    absl::Time EndsBy;
+  };
+  /// One attempt to start a run.
+  struct StartAttempt {
+    absl::Time SentAt;
+    /// Lowest reading that the clock of the intended incarnation can show.
+    absl::Duration ClockAtLeast;
+    WorkerLeaseBound::CallId LeaseCall;
+    /// Number of earlier attempts that were not answered.
+    int Retries = 0;
+  };
+
   WorkerTarget target() const {
     return {this->Registration.Id, this->Registration.Address};
   }
   void noteWorkerClock(absl::Duration Reading);
   void noteRegisteredClock(absl::Duration Reading);
-  bool isEarlierThanKnown(absl::Duration Reading, absl::Time SentAt) const;
+  absl::Duration lowestClockNow() const;
   /// \param Retries number of earlier attempts that were not answered.
   void sendStart(const StartOrder &Order, int Retries = 0);
   void startAnswered(const StartOrder &Order, OrderReply Reply,
-                     absl::Time SentAt, int Retries);
+                     const StartAttempt &Attempt);
+  void noteAnsweringIncarnation(const OrderReply &Reply,
+                                const StartAttempt &Attempt, bool IsLater);
   void sendHeldStarts();
   void beginIncarnation(int64_t Incarnation);
   bool adoptReportedIncarnation(int64_t Incarnation, absl::Time AskedAt);
   void blockStartsForLateAcknowledgement();
-  absl::Duration extendLease();
+  Lease longestLeaseNow() const;
+  void leaseCallAnswered(WorkerLeaseBound::CallId Call, int64_t Target,
+                         const RenewReply &Reply);
   void acknowledgementAnswered(const RunEndCursor &Acknowledged,
                                OrderAnswer Answer, absl::Time PendingBefore);
   void renewalAnswered(const RenewReply &Reply, absl::Time AskedAt);
@@ -133,14 +160,18 @@
   bool IsIncarnationReported = false;
   /// Incarnation of a registration that a report has contradicted.
   int64_t RefutedIncarnation = 0;
-  absl::Time LeaseEndsBy;
+  WorkerLeaseBound LeaseBound;
+  absl::Duration LongestLease;
+  /// An answer has shown that the known incarnation has ended; no report has
+  /// shown the next one yet.
+  bool IsIncarnationOver = false;
   bool HasReported = false;
   bool HasEverReported = false;
   /// When the latest report arrived.
   absl::Time ReportedAt = absl::InfinitePast();
   bool IsRenewing = false;
   /// The renewal in flight acknowledges ends. Start orders wait in HeldStarts
-  /// for its answer.
+  /// for its answer, and for the first report of a new incarnation.
   bool IsAcknowledging = false;
   std::vector<StartOrder> HeldStarts;
   int StartsInFlight = 0;
--- a/libs/control/src/testing/FakeWorkerFarm.cpp
+++ b/libs/control/src/testing/FakeWorkerFarm.cpp
@@ -52,6 +52,13 @@
       std::max(Registration.Incarnation + 1, absl::ToUnixMillis(W.StartedAt));
 }
 
+void FakeWorkerFarm::loseWaitingRenewals(const WorkerId &Id) {
+  for (Worker::Poll &Poll : std::exchange(this->Workers.at(Id).Polls, {}))
+    this->Exec.runAfter(absl::Seconds(1), [Done = std::move(Poll.Done)] {
+      Done({OrderAnswer::Unknown, {}});
+    });
+}
+
 size_t FakeWorkerFarm::runningCount() const {
   size_t Count = 0;
   for (const auto &[Id, W] : this->Workers)
@@ -117,6 +124,15 @@
     break;
   case Fault::Drop:
     break;
+  case Fault::Delay:
+    if (this->LateBy + this->Latency / 2 < Timeout) {
+      this->Exec.runAfter(this->LateBy, [this, Apply] {
+        this->Exec.runAfter(this->Latency / 2, Apply());
+      });
+      return;
+    }
+    this->Exec.runAfter(this->LateBy, [Apply] { (void)Apply(); });
+    break;
   }
   this->Exec.runAfter(Timeout,
                       [Fail = std::move(Fail)] { Fail(OrderAnswer::Unknown); });
--- a/libs/control/tests/SimulatedCluster.cpp
+++ b/libs/control/tests/SimulatedCluster.cpp
@@ -1,5 +1,6 @@
 #include "SimulatedCluster.h"
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 
@@ -75,7 +76,8 @@
       *Node.Exec, *Node.Store, this->Events, this->MetricRegistry);
   Node.QueueJobs->configurationChanged(this->Table);
   LeaderOptions Options;
-  Options.WorkerLease = this->Farm.MaxLease;
+  Options.WorkerLease = std::min(this->WorkerLease, this->Farm.MaxLease);
+  Options.LongestWorkerLease = this->Farm.MaxLease;
   Options.Scheduling.StopTimeout = this->Farm.StopTime;
   Node.Task = std::make_unique<LeaderTask>(
       *Node.Exec, *Node.Store, *Node.Workers, *Node.Workers, Options,
--- a/libs/control/tests/SimulatedCluster.h
+++ b/libs/control/tests/SimulatedCluster.h
@@ -63,6 +63,10 @@
   /// The step of a submitted job that \p Task belongs to, or null.
   const BatchStep *findStep(const TaskKey &Task) const;
 
+  /// Lease that leaders grant to workers; the farm's MaxLease if it is shorter.
+  /// Set it before hosts are added.
+  absl::Duration WorkerLease = absl::InfiniteDuration();
+
   VirtualExecutor Exec;
   Log Events;
   Metrics MetricRegistry;
--- a/libs/fleethost/src/FleetHost.cpp
+++ b/libs/fleethost/src/FleetHost.cpp
@@ -43,6 +43,7 @@
 static FleetHostOptions withCappedWorkerLease(FleetHostOptions Options) {
   Options.Leader.WorkerLease =
       std::min(Options.Leader.WorkerLease, Options.MaxWorkerLease);
+  Options.Leader.LongestWorkerLease = Options.MaxWorkerLease;
   return Options;
 }
 
--- a/libs/scheduler/include/scheduler/Scheduler.h
+++ b/libs/scheduler/include/scheduler/Scheduler.h
@@ -80,9 +80,10 @@
   void updateWorker(const WorkerRegistration &Registration);
   /// \param IsUsable orders may be sent to the worker.
   void setUsable(const WorkerId &Worker, bool IsUsable);
-  /// Removes all runs of the worker, as its lease has expired and so none is
-  /// left, and stops the other members of their gangs.
-  void workerLeaseExpired(const WorkerId &Worker);
+  /// Removes the runs of the worker, as its lease has expired, and stops the
+  /// other members of their gangs. Keeps the runs that an incarnation which is
+  /// not known yet may still hold.
+  void workerLeaseExpired(const WorkerId &Worker, absl::Time Now);
   /// Call it when the worker has restarted: it numbers its ends from 1 again.
   /// Its next report shows which runs are left.
   void workerRestarted(const WorkerId &Worker);
@@ -101,8 +102,12 @@
   /// confirmed nor to be stopped.
   bool isStartPending(const StartOrder &Order) const;
   /// Applies the answer of a worker to a start order.
+  /// \param HeldUntil if the answer is Unknown: when the run has ended at the
+  ///        latest if an incarnation of the worker that is not known yet has
+  ///        started it.
   void startAnswered(const StartOrder &Order, OrderAnswer Answer,
-                     absl::Time Now);
+                     absl::Time Now,
+                     absl::Time HeldUntil = absl::InfinitePast());
   /// Applies the result of a stop order.
   /// \param IsAccepted the worker has accepted the stop; otherwise the next
   ///        plan() returns the order again.
--- a/libs/scheduler/src/RunRecord.h
+++ b/libs/scheduler/src/RunRecord.h
@@ -38,6 +38,9 @@
   /// The start order was not answered: the worker may have carried it out, may
   /// do so later, or never.
   bool IsUncertain = false;
+  /// If IsUncertain: when the run has ended at the latest if an incarnation of
+  /// the worker that is not known yet has started it.
+  absl::Time HeldUntil = absl::InfinitePast();
   /// Version of the job's placements that holds this run. The start order is
   /// sent only after that version is recorded.
   int64_t PlacementVersion = 0;
--- a/libs/scheduler/src/SchedulerReports.cpp
+++ b/libs/scheduler/src/SchedulerReports.cpp
@@ -337,16 +337,25 @@
   I.endUnlistedRuns(*Found, Report, AskedAt);
 }
 
-void Scheduler::workerLeaseExpired(const WorkerId &Worker) {
+void Scheduler::workerLeaseExpired(const WorkerId &Worker, absl::Time Now) {
   Impl &I = *this->Implementation;
   WorkerState *Found = I.Fleet.find(Worker);
   if (!Found)
     return;
-  I.Events.warning("scheduler",
-                   "lease of a worker has expired; its runs are lost",
-                   {{"worker", Worker}, {"runs", Found->Runs.size()}});
-  while (!Found->Runs.empty()) {
-    RunRecord &Run = *Found->Runs.back();
+  auto IsLost = [Now](const RunRecord *Run) {
+    return !Run->IsUncertain || Run->HeldUntil <= Now;
+  };
+  std::vector<RunRecord *> &Runs = Found->Runs;
+  auto LostCount = std::count_if(Runs.begin(), Runs.end(), IsLost);
+  if (LostCount == 0)
+    return;
+  I.Events.warning(
+      "scheduler", "lease of a worker has expired; its runs are lost",
+      {{"worker", Worker}, {"runs", LostCount}, {"of", Runs.size()}});
+  for (auto Next = std::find_if(Runs.begin(), Runs.end(), IsLost);
+       Next != Runs.end();
+       Next = std::find_if(Runs.begin(), Runs.end(), IsLost)) {
+    RunRecord &Run = **Next;
     I.stopGangOf(Run);
     I.endRun(Run);
   }
@@ -368,7 +377,7 @@
 }
 
 void Scheduler::startAnswered(const StartOrder &Order, OrderAnswer Answer,
-                              absl::Time Now) {
+                              absl::Time Now, absl::Time HeldUntil) {
   Impl &I = *this->Implementation;
   RunRecord *Run = I.Fleet.runOf(Order.Task);
   if (!Run || Run->Run != Order.Run ||
@@ -395,6 +404,7 @@
     I.stopGangOf(*Run);
   if (Answer == OrderAnswer::Unknown) {
     Run->IsUncertain = true;
+    Run->HeldUntil = HeldUntil;
     Run->Phase = RunPhase::Stopping;
     return;
   }
--- a/libs/scheduler/tests/SchedulerTest.cpp
+++ b/libs/scheduler/tests/SchedulerTest.cpp
@@ -116,7 +116,8 @@
     EXPECT_EQ(Harness.Sched.waitingJobsByQueue()["q"], 1);
     EXPECT_EQ(Harness.takeRecord("j1").find("\"running\""), std::string::npos);
     Harness.Exec.advance(absl::Seconds(2));
-    Harness.Sched.workerLeaseExpired(Refused.Starts[0].Worker);
+    Harness.Sched.workerLeaseExpired(Refused.Starts[0].Worker,
+                                     Harness.Exec.now());
     ASSERT_EQ(Harness.planAndAccept().Starts.size(), 1U);
     EXPECT_EQ(Harness.Sched.waitingJobsByQueue()["q"], 0);
     EXPECT_NE(Harness.takeRecord("j1").find("\"running\""), std::string::npos);
@@ -462,7 +463,7 @@
   EXPECT_EQ(Harness.Sched.workersWithRuns(),
             std::vector<WorkerId>{WorkerId("gone")});
   EXPECT_EQ(Harness.planAndAccept().Starts.size(), 0U);
-  Harness.Sched.workerLeaseExpired(WorkerId("gone"));
+  Harness.Sched.workerLeaseExpired(WorkerId("gone"), Harness.Exec.now());
   Harness.Sched.removeWorker(WorkerId("gone"));
   EXPECT_EQ(Harness.planAndAccept().Starts.size(), 1U);
 }
@@ -599,7 +600,7 @@
   Harness.Sched.setUsable(Worker.Id, false);
   Harness.addWorker("w2");
   EXPECT_EQ(Harness.planAndAccept().Starts.size(), 0U);
-  Harness.Sched.workerLeaseExpired(Worker.Id);
+  Harness.Sched.workerLeaseExpired(Worker.Id, Harness.Exec.now());
   EXPECT_EQ(Harness.planAndAccept().Starts.size(), 2U);
 }
 
