Let a new leader wait for the longest lease of a worker that has restarted

A task ran twice at the same time: its worker had started again and was cut off, and the leader handed its role over.

Cause: the new leader waited for the lease that its predecessor had asked for. It knows of none of its predecessor's calls, and an incarnation that received one for the former incarnation has the longest lease.

The registration tells when an incarnation began, and so whether it can have received such a call. Workers that began earlier are not waited for longer.

Ruled out: late orders of the former leader; the first runs ended by the worker's own lease.

SuccessorWaitsForTheLongestLeaseOfARestartedWorker failed before.

--- a/libs/control/src/LeaderTaskWorkers.cpp
+++ b/libs/control/src/LeaderTaskWorkers.cpp
@@ -44,11 +44,13 @@
   // An earlier leader may have granted a lease to a recorded worker.
   bool MayHoldRuns = this->UnreportedWorkers.contains(Registration.Id);
   absl::Time LeaseEndsBy = MayHoldRuns ? this->earlierLeasesEnd() : this->now();
-  this->Drivers.emplace(
-      Registration.Id,
-      std::make_shared<WorkerDriver>(this->Links.Exec, this->Links.Gateway,
-                                     *this, Registration, LeaseEndsBy,
-                                     this->Options.LongestWorkerLease));
+  absl::Time EarlierCallsUntil =
+      MayHoldRuns ? this->BeganAt + OrderDelay : absl::InfinitePast();
+  this->Drivers.emplace(Registration.Id,
+                        std::make_shared<WorkerDriver>(
+                            this->Links.Exec, this->Links.Gateway, *this,
+                            Registration, LeaseEndsBy, EarlierCallsUntil,
+                            this->Options.LongestWorkerLease));
 }
 
 void LeaderTask::Term::applyRegistrations(
--- a/libs/control/src/WorkerDriver.cpp
+++ b/libs/control/src/WorkerDriver.cpp
@@ -28,11 +28,26 @@
 WorkerDriver::WorkerDriver(Executor &Exec, WorkerGateway &Gateway,
                            Owner &OwnerRef,
                            const WorkerRegistration &Registration,
-                           absl::Time LeaseEndsBy, absl::Duration LongestLease)
+                           absl::Time LeaseEndsBy, absl::Time EarlierCallsUntil,
+                           absl::Duration LongestLease)
     : Exec(Exec), Gateway(Gateway), OwnerRef(OwnerRef),
       Registration(Registration), ClockAt(Exec.now()),
       IncarnationSeenAt(Exec.now()), LeaseBound(LongestLease, LeaseEndsBy),
-      LongestLease(LongestLease) {}
+      EarlierCallsUntil(EarlierCallsUntil), LongestLease(LongestLease) {
+  this->coverCallsOfEarlierLeaders();
+}
+
+/// An incarnation that began while an earlier leader sent calls may have
+/// received some that were meant for the former incarnation, and so have its
+/// longest lease. Such calls reach it within LongestOrderDelay of its start.
+void WorkerDriver::coverCallsOfEarlierLeaders() {
+  if (this->Registration.Incarnation == 0)
+    return;
+  absl::Time Born = absl::FromUnixMillis(this->Registration.Incarnation);
+  this->LeaseBound.extend(WorkerLeaseBound::longestLeaseEnd(
+      std::min(this->EarlierCallsUntil, Born + LongestOrderDelay),
+      this->LongestLease));
+}
 
 /// Applies a reading that the worker has sent in a report or, once a report has
 /// shown the clock of this incarnation, in the answer to an order.
@@ -78,6 +93,7 @@
   this->ClockAt = Now;
   this->IsClockReported = false;
   this->LeaseBound.incarnationEnded();
+  this->coverCallsOfEarlierLeaders();
   this->IsIncarnationOver = false;
   this->HasReported = false;
   this->ProcessedEnd = 0;
--- a/libs/control/src/WorkerDriver.h
+++ b/libs/control/src/WorkerDriver.h
@@ -61,11 +61,13 @@
   };
 
   /// \param LeaseEndsBy latest time at which every lease that an earlier leader
-  ///        granted to this worker has expired.
+  ///        granted to this worker has expired, if it did not restart then.
+  /// \param EarlierCallsUntil when the last call of an earlier leader may reach
+  ///        the worker; InfinitePast if no earlier leader has called it.
   /// \param LongestLease longest lease that the worker grants, on its clock.
   WorkerDriver(Executor &Exec, WorkerGateway &Gateway, Owner &OwnerRef,
                const WorkerRegistration &Registration, absl::Time LeaseEndsBy,
-               absl::Duration LongestLease);
+               absl::Time EarlierCallsUntil, absl::Duration LongestLease);
 
   /// Applies a newer registration. What the worker has reported itself goes
   /// before a registration, which another program may have written.
@@ -132,6 +134,7 @@
                                 const StartAttempt &Attempt, bool IsLater);
   void sendHeldStarts();
   void beginIncarnation(int64_t Incarnation);
+  void coverCallsOfEarlierLeaders();
   bool adoptReportedIncarnation(int64_t Incarnation, absl::Time AskedAt);
   void blockStartsForLateAcknowledgement();
   Lease longestLeaseNow() const;
@@ -161,6 +164,7 @@
   /// Incarnation of a registration that a report has contradicted.
   int64_t RefutedIncarnation = 0;
   WorkerLeaseBound LeaseBound;
+  absl::Time EarlierCallsUntil;
   absl::Duration LongestLease;
   /// An answer has shown that the known incarnation has ended; no report has
   /// shown the next one yet.
--- a/libs/control/tests/WorkerRestartTest.cpp
+++ b/libs/control/tests/WorkerRestartTest.cpp
@@ -161,6 +161,36 @@
   EXPECT_EQ(this->repetitions(), 0);
 }
 
+// Guards against the same after a hand-over: the next leader knows of no call
+// that the former one has sent.
+TEST_F(WorkerRestartTest, SuccessorWaitsForTheLongestLeaseOfARestartedWorker) {
+  this->Farm.Durations = [](const TaskKey &) { return absl::Seconds(30); };
+  this->Cluster.addHost("b");
+  this->Farm.restart(this->Worker);
+  this->submit();
+  this->awaitStarts(1);
+  this->cutWorkerOff();
+  ASSERT_EQ(this->Cluster.leaderName(), "a");
+  this->Cluster.Hosts.at("a").Role->resign([] {});
+  this->Cluster.runFor(absl::Seconds(20));
+  EXPECT_EQ(this->Farm.StartedRuns.size(), 2U);
+  EXPECT_EQ(this->repetitions(), 0);
+}
+
+// Guards against a successor that waits longer than the granted lease for
+// workers that did not restart.
+TEST_F(WorkerRestartTest, SuccessorWaitsForTheGrantedLeaseOfOtherWorkers) {
+  this->Farm.Durations = [](const TaskKey &) { return absl::Seconds(30); };
+  this->Cluster.addHost("b");
+  this->submit();
+  this->awaitStarts(1);
+  this->cutWorkerOff();
+  this->Cluster.Hosts.at("a").Role->resign([] {});
+  this->Cluster.runFor(absl::Milliseconds(7500));
+  EXPECT_EQ(this->Farm.StartedRuns.size(), 2U);
+  EXPECT_EQ(this->repetitions(), 0);
+}
+
 // Guards against tasks that stand still longer than the lease that their worker
 // was granted, if nothing points to a restart.
 TEST_F(WorkerRestartTest, LostRunsStartAgainAfterTheGrantedLease) {
