Fuzz workers that restart, get calls for their former life and are cut off

A third property of LeaderFuzzTest: calls to one worker are delayed, it restarts, it is cut off soon after for less or more than its longest lease, and often the leader gives its role up. Workers grant 10 s where the leader asks for 6 s. The fake farm can hand a call to the next incarnation.

--- a/libs/control/tests/LeaderFuzzTest.cpp
+++ b/libs/control/tests/LeaderFuzzTest.cpp
@@ -26,15 +26,27 @@
 /// replaced and an order arrives late.
 constexpr absl::Duration MaxCancelDelay = absl::Seconds(15);
 
+/// Faults beyond those that every case has. A new kind must not change the
+/// course of seeds that were found without it.
+enum class FuzzMode {
+  Basic,
+  /// Single hosts are cut off from the store, the leader above all.
+  HostCuts,
+  /// Workers that grant longer leases than leaders ask for restart, get calls
+  /// that were meant for their former incarnation, and are cut off.
+  WorkerCuts,
+};
+
 /// Runs random operations and faults on hosts, workers and the store, then
 /// checks the recorded runs against the invariants that hold in every case.
 class LeaderFuzz {
 public:
-  /// \param WithCuts cuts single hosts off from the store, the leader above
-  /// all.
-  ///        Off for the seeds that were found without it.
-  explicit LeaderFuzz(uint32_t Seed, bool WithCuts = false)
-      : WithCuts(WithCuts), Random(Seed) {
+  explicit LeaderFuzz(uint32_t Seed, FuzzMode Mode = FuzzMode::Basic)
+      : Mode(Mode), Random(Seed) {
+    if (Mode == FuzzMode::WorkerCuts) {
+      this->Cluster.WorkerLease = absl::Seconds(6);
+      this->Cluster.Farm.MaxLease = absl::Seconds(10);
+    }
     this->Cluster.addWorkers(6, {8000, 64000, 8});
     this->Cluster.Farm.Durations = [this](const TaskKey &) {
       return absl::Milliseconds(this->uniformInt(200, 4000));
@@ -137,8 +149,10 @@
       break;
     case 15:
     case 16:
-      if (this->WithCuts)
+      if (this->Mode == FuzzMode::HostCuts)
         return this->cutRandomHost();
+      if (this->Mode == FuzzMode::WorkerCuts)
+        return this->restartAndCutWorker();
       break;
     default:
       break;
@@ -214,6 +228,34 @@
     Node->Workers->setCut({});
   }
 
+  /// Restarts a worker while calls to it are delayed, and cuts it off soon
+  /// after, for less or more than the longest lease. Often the leader ends too.
+  void restartAndCutWorker() {
+    FakeWorkerFarm &Farm = this->Cluster.Farm;
+    WorkerId Worker = this->randomWorker();
+    auto SetFault = [&Farm, Worker](OrderFault Kind) {
+      Farm.Faults = [Worker, Kind](const std::string &, const WorkerId &Id) {
+        return Id == Worker ? Kind : OrderFault::None;
+      };
+    };
+    Farm.LateBy = absl::Milliseconds(this->uniformInt(50, 2500));
+    SetFault(OrderFault::Delay);
+    this->submitRandomJob();
+    this->Cluster.runFor(absl::Milliseconds(this->uniformInt(0, 600)));
+    Farm.restart(Worker);
+    if (this->chance(50))
+      Farm.Faults = nullptr;
+    this->submitRandomJob();
+    this->Cluster.runFor(absl::Milliseconds(this->uniformInt(0, 2500)));
+    SetFault(OrderFault::Drop);
+    Farm.loseWaitingRenewals(Worker);
+    if (this->chance(30))
+      if (SimulatedCluster::HostNode *Leader = this->Cluster.leader())
+        Leader->Role->stepDown();
+    this->Cluster.runFor(absl::Milliseconds(this->uniformInt(1000, 14000)));
+    Farm.Faults = nullptr;
+  }
+
   void replaceHost() {
     auto It = this->Cluster.Hosts.begin();
     std::advance(It, this->uniformInt(
@@ -371,7 +413,7 @@
     }
   }
 
-  bool WithCuts;
+  FuzzMode Mode;
   SimulatedCluster Cluster;
   std::mt19937 Random;
   uint64_t NextJob = 1;
@@ -380,20 +422,22 @@
 
 } // namespace
 
-static std::string violationsOf(uint32_t Seed, bool WithCuts = false) {
-  LeaderFuzz Fuzz(Seed, WithCuts);
+static std::string violationsOf(uint32_t Seed,
+                                FuzzMode Mode = FuzzMode::Basic) {
+  LeaderFuzz Fuzz(Seed, Mode);
   Fuzz.run();
   return Fuzz.violations();
 }
 
-// Replays the seed in VANILLAYARD_FUZZ_SEED, to trace a failure; with cuts if
-// VANILLAYARD_FUZZ_CUTS is set.
+// Replays the seed in VANILLAYARD_FUZZ_SEED, to trace a failure, in the mode
+// whose number is in VANILLAYARD_FUZZ_MODE (0 if it is not set).
 TEST(LeaderFuzzTest, SeedFromTheEnvironment) {
   const char *Seed = std::getenv("VANILLAYARD_FUZZ_SEED");
   if (!Seed)
     return;
-  bool WithCuts = std::getenv("VANILLAYARD_FUZZ_CUTS") != nullptr;
-  EXPECT_EQ(violationsOf(static_cast<uint32_t>(std::stoul(Seed)), WithCuts),
+  const char *Mode = std::getenv("VANILLAYARD_FUZZ_MODE");
+  EXPECT_EQ(violationsOf(static_cast<uint32_t>(std::stoul(Seed)),
+                         static_cast<FuzzMode>(Mode ? std::stoi(Mode) : 0)),
             "");
 }
 
@@ -423,7 +467,14 @@
 
 RC_GTEST_PROP(LeaderFuzzTest, InvariantsHoldWhileHostsAreCutOff,
               (uint32_t Seed)) {
-  std::string Violations = violationsOf(Seed, /*WithCuts=*/true);
+  std::string Violations = violationsOf(Seed, FuzzMode::HostCuts);
+  if (!Violations.empty())
+    RC_FAIL(fmt::format("seed {}\n{}", Seed, Violations));
+}
+
+RC_GTEST_PROP(LeaderFuzzTest, InvariantsHoldWhileRestartedWorkersAreCutOff,
+              (uint32_t Seed)) {
+  std::string Violations = violationsOf(Seed, FuzzMode::WorkerCuts);
   if (!Violations.empty())
     RC_FAIL(fmt::format("seed {}\n{}", Seed, Violations));
 }
