Take no rounded reading of a slow clock for a restart

Since leases are bounded by the calls that a restarted worker may have received, starts are held once the clock in an answer shows a restart. Readings are whole milliseconds: that of a clock that is 2% slow could be a fraction of a millisecond below the lowest one expected, and as no other incarnation ever reported, the worker's starts were held for good.

Ruled out: longer leases of lost workers, the first guess; no worker was lost near that moment.

The lowest reading allows for the resolution of readings, and a report that was asked for after the suspicion ends it.

SlowClockIsNotTakenForARestart failed before the change. The fake workers have a clock rate and readings in whole milliseconds.

--- a/libs/control/include/control/testing/FakeWorkerFarm.h
+++ b/libs/control/include/control/testing/FakeWorkerFarm.h
@@ -63,6 +63,8 @@
   absl::Duration MaxLease = absl::Seconds(6);
   /// Time from a stop order to the end of the run.
   absl::Duration StopTime = absl::Milliseconds(200);
+  /// Rate of the workers' clocks.
+  double ClockRate = 1;
   /// How long ago the registrations were written.
   absl::Duration RegistrationAge = absl::ZeroDuration();
   /// Changes the registrations that fetch() returns, as another writer could.
@@ -90,8 +92,8 @@
   void setDraining(const WorkerId &Id, bool IsDraining);
   /// The worker crashes and restarts at once: its runs and its state are lost.
   void restart(const WorkerId &Id);
-  /// The renewals that wait at the worker get no answer; their callers give them
-  /// up 1 s later.
+  /// The renewals that wait at the worker get no answer; their callers give
+  /// them up 1 s later.
   void loseWaitingRenewals(const WorkerId &Id);
   /// Removes or restores the registration; the worker itself keeps running.
   void setRegistered(const WorkerId &Id, bool IsRegistered);
@@ -148,8 +150,10 @@
   void scheduleLeaseExpiry(const WorkerId &Id);
   void answerPolls(Worker &W);
   WorkerReport report(const Worker &W) const;
+  /// Reading of the worker's clock, in whole milliseconds.
   absl::Duration clock(const Worker &W) const {
-    return this->Exec.now() - W.StartedAt;
+    return absl::Floor((this->Exec.now() - W.StartedAt) * this->ClockRate,
+                       absl::Milliseconds(1));
   }
 
   Executor &Exec;
--- a/libs/control/src/WorkerClock.h
+++ b/libs/control/src/WorkerClock.h
@@ -12,6 +12,8 @@
 /// in the other direction.
 inline constexpr double FastestWorkerClock = 1.02;
 
+/// Unit of the readings that workers send, which are rounded down.
+inline constexpr absl::Duration WorkerClockResolution = absl::Milliseconds(1);
 /// Maximum time after which a worker may still execute an unanswered call: 12 s
 /// by the platform's description of late orders, plus the duration of a call.
 inline constexpr absl::Duration LongestOrderDelay = absl::Seconds(13);
--- a/libs/control/src/WorkerDriver.cpp
+++ b/libs/control/src/WorkerDriver.cpp
@@ -78,7 +78,8 @@
 /// one in an answer to a call that is sent now means that the worker has
 /// restarted.
 absl::Duration WorkerDriver::lowestClockNow() const {
-  return this->Clock + (this->Exec.now() - this->ClockAt) * SlowestWorkerClock;
+  return this->Clock + (this->Exec.now() - this->ClockAt) * SlowestWorkerClock -
+         WorkerClockResolution;
 }
 
 /// Discards the state kept for the previous incarnation. The new incarnation
@@ -266,7 +267,10 @@
     return this->retryLater();
   this->LeaseBound.incarnationConfirmed(AskedAt);
   this->noteWorkerClock(Report.Clock);
-  this->HasReported = true;
+  // A report that was asked for earlier may be the last one of the incarnation.
+  if (AskedAt >= this->IncarnationOverAt)
+    this->IsIncarnationOver = false;
+  this->HasReported = !this->IsIncarnationOver;
   this->HasEverReported = true;
   this->ReportedAt = this->Exec.now();
   this->OwnerRef.reported(this->Registration.Id, Report, AskedAt);
@@ -360,6 +364,7 @@
   if (Attempt.SentAt < this->IncarnationSeenAt)
     return;
   this->IsIncarnationOver = true;
+  this->IncarnationOverAt = this->Exec.now();
   this->LeaseBound.incarnationEnded();
 }
 
--- a/libs/control/src/WorkerDriver.h
+++ b/libs/control/src/WorkerDriver.h
@@ -169,6 +169,8 @@
   /// An answer has shown that the known incarnation has ended; no report has
   /// shown the next one yet.
   bool IsIncarnationOver = false;
+  /// When that was last shown.
+  absl::Time IncarnationOverAt = absl::InfinitePast();
   bool HasReported = false;
   bool HasEverReported = false;
   /// When the latest report arrived.
--- a/libs/control/src/testing/FakeWorkerFarm.cpp
+++ b/libs/control/src/testing/FakeWorkerFarm.cpp
@@ -232,7 +232,8 @@
 
 void FakeWorkerFarm::extendLease(Worker &W, absl::Duration LeaseUntil) {
   absl::Time Ends =
-      std::min(W.StartedAt + LeaseUntil, this->Exec.now() + this->MaxLease);
+      std::min(W.StartedAt + LeaseUntil / this->ClockRate,
+               this->Exec.now() + this->MaxLease / this->ClockRate);
   W.LeaseEnds = std::max(W.LeaseEnds, Ends);
   this->scheduleLeaseExpiry(W.Registration.Id);
 }
--- a/libs/control/tests/WorkerRestartTest.cpp
+++ b/libs/control/tests/WorkerRestartTest.cpp
@@ -191,6 +191,23 @@
   EXPECT_EQ(this->repetitions(), 0);
 }
 
+// Guards against starts that are held back because the reading of a slow clock,
+// rounded down, looks like that of a new incarnation.
+TEST_F(WorkerRestartTest, SlowClockIsNotTakenForARestart) {
+  this->Farm.ClockRate = 0.98;
+  this->Farm.Latency = absl::Microseconds(20);
+  this->Farm.Durations = [](const TaskKey &) { return absl::Milliseconds(50); };
+  this->Farm.restart(this->Worker);
+  this->Cluster.runFor(absl::Seconds(3));
+  for (int I = 10; I < 90; ++I) {
+    std::string Next = "00000000000000" + std::to_string(I);
+    this->Cluster.submit(this->Cluster.Hosts.at("a"), Next,
+                         this->Cluster.job(1, 8));
+    this->Cluster.runFor(absl::Microseconds(150300));
+    ASSERT_EQ(this->Farm.StartedRuns.size(), static_cast<size_t>(I - 9));
+  }
+}
+
 // Guards against tasks that stand still longer than the lease that their worker
 // was granted, if nothing points to a restart.
 TEST_F(WorkerRestartTest, LostRunsStartAgainAfterTheGrantedLease) {
