Take the clock of a worker only from its present incarnation

The answer to an order that was sent before a restart, if it arrived after the first report of the new incarnation, set that incarnation's clock to the former one's. Each lease of the new one was the longest then, and each answer looked like a restart.

Readings in answers now count only if the order was sent after the incarnation was known. LateAnswerDoesNotSetTheClockOfTheNextIncarnation failed before.

Tried and taken back: the longest lease from the end of a call without an answer instead of its longest delay. InvariantsHoldWhileRestartedWorkersAreCutOff failed within five cases, as such a call may be carried out seconds later.

--- a/libs/control/include/control/testing/FakeWorkerFarm.h
+++ b/libs/control/include/control/testing/FakeWorkerFarm.h
@@ -33,6 +33,9 @@
     /// Arrives LateBy later, at the incarnation that the worker has then, which
     /// applies and answers it.
     Delay,
+    /// Applied at once; the answer arrives LateBy later, also if the worker has
+    /// restarted meanwhile. For start and stop only.
+    DelayAnswer,
   };
   /// A run that a worker has started, recorded for the test's checks.
   struct StartedRun {
--- a/libs/control/src/ProgressWriter.cpp
+++ b/libs/control/src/ProgressWriter.cpp
@@ -293,7 +293,7 @@
     if (IsLeader) {
       if (!this->adoptRevisions(Result->Found, Sent))
         return this->OwnerRef.recordsDiffer();
-      this->dropFutileRemovals(Result->Found, Sent);
+      this->dropOutdatedRemovals(Result->Found, Sent);
     } else {
       if (SentUnder == this->LeaderKeyRevision)
         this->OwnerRef.leaderKeyMissing();
@@ -352,8 +352,8 @@
 /// Drops the deletions whose records are not those that the deletion was
 /// decided from: it was applied before, but its answer was lost, and the id may
 /// be that of another job since.
-void ProgressWriter::dropFutileRemovals(const std::vector<StoreItem> &Found,
-                                        Batch &Sent) {
+void ProgressWriter::dropOutdatedRemovals(const std::vector<StoreItem> &Found,
+                                          Batch &Sent) {
   std::erase_if(Sent.Removals, [&](const JobRemoval &Removal) {
     bool IsRecordFound = false;
     bool IsProgressFound = false;
@@ -362,13 +362,14 @@
                        Item.Revision == Removal.JobRevision;
       IsProgressFound |= Item.Key == RecordKeys::progress(Removal.Id);
     }
-    bool IsFutile = !IsRecordFound || (IsProgressFound && !Removal.HasProgress);
-    if (IsFutile)
+    bool IsOutdated =
+        !IsRecordFound || (IsProgressFound && !Removal.HasProgress);
+    if (IsOutdated)
       this->Events.info("leader", "records of a job are not deleted",
                         {{"job", Removal.Id},
                          {"revision", Removal.JobRevision},
                          {"record", IsRecordFound ? "unchanged" : "gone"}});
-    return IsFutile;
+    return IsOutdated;
   });
 }
 
--- a/libs/control/src/ProgressWriter.h
+++ b/libs/control/src/ProgressWriter.h
@@ -139,7 +139,7 @@
   void releaseEnds();
   void requeue(Batch Sent);
   bool adoptRevisions(const std::vector<StoreItem> &Found, const Batch &Sent);
-  void dropFutileRemovals(const std::vector<StoreItem> &Found, Batch &Sent);
+  void dropOutdatedRemovals(const std::vector<StoreItem> &Found, Batch &Sent);
   void commitSucceeded(int64_t Revision, const Batch &Sent);
   void scheduleFlush(absl::Duration Delay);
 
--- a/libs/control/src/WorkerDriver.cpp
+++ b/libs/control/src/WorkerDriver.cpp
@@ -49,8 +49,7 @@
       this->LongestLease));
 }
 
-/// Applies a reading that the worker has sent in a report or, once a report has
-/// shown the clock of this incarnation, in the answer to an order.
+/// Applies a reading of this incarnation.
 void WorkerDriver::noteWorkerClock(absl::Duration Reading) {
   absl::Time Now = this->Exec.now();
   // An answer that was delayed may show less than the known lower bound; the
@@ -64,6 +63,15 @@
   this->IsClockReported = true;
 }
 
+/// Applies the reading in the answer to an order that was sent at \p SentAt. An
+/// order that was sent before this incarnation was known may have been answered
+/// by the one before, whose clock is ahead.
+void WorkerDriver::noteAnsweredClock(absl::Duration Reading,
+                                     absl::Time SentAt) {
+  if (this->IsClockReported && SentAt >= this->IncarnationSeenAt)
+    this->noteWorkerClock(Reading);
+}
+
 /// Applies the reading of a registration, which another program may have
 /// written, if the worker's own readings allow it. A reading that is too high
 /// would make leases end later than this leader expects.
@@ -373,8 +381,8 @@
   --this->StartsInFlight;
   bool HasRestarted = Reply.Clock && *Reply.Clock < Attempt.ClockAtLeast;
   this->noteAnsweringIncarnation(Reply, Attempt, HasRestarted);
-  if (Reply.Clock && !HasRestarted && this->IsClockReported)
-    this->noteWorkerClock(*Reply.Clock);
+  if (Reply.Clock && !HasRestarted)
+    this->noteAnsweredClock(*Reply.Clock, Attempt.SentAt);
   // A start order is idempotent: the worker starts each run only once.
   bool MayRetry = Attempt.Retries < MaxStartRetries &&
                   !this->IsIncarnationOver && this->OwnerRef.mayStart(Order);
@@ -399,12 +407,13 @@
 
 void WorkerDriver::stop(const StopOrder &Order) {
   this->Gateway.stop(this->target(), Order, this->OwnerRef.fence(), CallTimeout,
-                     [Weak = this->weak_from_this(), Order](OrderReply Reply) {
+                     [Weak = this->weak_from_this(), Order,
+                      SentAt = this->Exec.now()](OrderReply Reply) {
                        std::shared_ptr<WorkerDriver> Self = Weak.lock();
                        if (!Self || Self->IsClosed)
                          return;
-                       if (Reply.Clock && Self->IsClockReported)
-                         Self->noteWorkerClock(*Reply.Clock);
+                       if (Reply.Clock)
+                         Self->noteAnsweredClock(*Reply.Clock, SentAt);
                        if (Reply.Answer == OrderAnswer::Fenced)
                          return Self->OwnerRef.fenced();
                        Self->OwnerRef.stopAnswered(
--- a/libs/control/src/WorkerDriver.h
+++ b/libs/control/src/WorkerDriver.h
@@ -124,6 +124,7 @@
     return {this->Registration.Id, this->Registration.Address};
   }
   void noteWorkerClock(absl::Duration Reading);
+  void noteAnsweredClock(absl::Duration Reading, absl::Time SentAt);
   void noteRegisteredClock(absl::Duration Reading);
   absl::Duration lowestClockNow() const;
   /// \param Retries number of earlier attempts that were not answered.
--- a/libs/control/src/testing/FakeWorkerFarm.cpp
+++ b/libs/control/src/testing/FakeWorkerFarm.cpp
@@ -124,6 +124,11 @@
     break;
   case Fault::Drop:
     break;
+  case Fault::DelayAnswer:
+    this->Exec.runAfter(this->Latency / 2, [this, Apply] {
+      this->Exec.runAfter(this->LateBy, Apply());
+    });
+    return;
   case Fault::Delay:
     if (this->LateBy + this->Latency / 2 < Timeout) {
       this->Exec.runAfter(this->LateBy, [this, Apply] {
--- a/libs/control/tests/WorkerRestartTest.cpp
+++ b/libs/control/tests/WorkerRestartTest.cpp
@@ -136,6 +136,32 @@
   EXPECT_EQ(this->repetitions(), 0);
 }
 
+// Guards against a clock that is set by a late answer of the former
+// incarnation: with it, leases of the new one are the longest, and each answer
+// looks like a restart.
+TEST_F(WorkerRestartTest, LateAnswerDoesNotSetTheClockOfTheNextIncarnation) {
+  this->Farm.Durations = [](const TaskKey &) { return absl::Seconds(30); };
+  this->Farm.LateBy = absl::Milliseconds(480);
+  this->Farm.Faults = [](const std::string &Call, const WorkerId &) {
+    return Call == "start" ? OrderFault::DelayAnswer : OrderFault::None;
+  };
+  this->Cluster.submit(this->Cluster.Hosts.at("a"), "00000000000000aa",
+                       this->Cluster.job(1, 1));
+  this->awaitStarts(1);
+  this->Farm.Faults = nullptr;
+  // The crash ends a renewal, and the next one reports before the answer comes.
+  this->Cluster.runFor(absl::Milliseconds(110));
+  this->Farm.restart(this->Worker);
+  // Until no call for the former incarnation can be carried out any more.
+  this->Cluster.runFor(absl::Seconds(20));
+  this->submit(4);
+  this->awaitStarts(3);
+  this->cutWorkerOff();
+  this->Cluster.runFor(absl::Milliseconds(6700));
+  EXPECT_EQ(this->Farm.StartedRuns.size(), 5U);
+  EXPECT_EQ(this->repetitions(), 0);
+}
+
 // Guards against the same for a start without an answer: only the worker knows
 // which incarnation has received it.
 TEST_F(WorkerRestartTest, UnansweredStartIsHeldForTheLongestLease) {
