--- a/review/standins-3/large.py
+++ b/review/standins-3/large.py
@@ -14,22 +14,22 @@
 HOSTS = 3
 FARMS, WORKERS_EACH = 6, 8
 WORKER_CORES = 128
-TASK_SECONDS = 8.0
 RESTART_DELAY = 0.5
 
 
 class Farm:
     """One process with some workers, and what it prints."""
 
-    def __init__(self, yard, record):
+    def __init__(self, yard, record, task_seconds):
         self.yard, self.record = yard, record
+        self.task_seconds = task_seconds
         self.workers = []  # (name, rack, address, born)
         self.begun, self.running = set(), set()
 
     async def start(self, first):
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "farm.py", str(first), str(WORKERS_EACH),
-            str(TASK_SECONDS), cwd=FOLDER, stdout=asyncio.subprocess.PIPE)
+            str(self.task_seconds), cwd=FOLDER, stdout=asyncio.subprocess.PIPE)
         while len(self.workers) < WORKERS_EACH:
             line = (await asyncio.wait_for(
                 self.process.stdout.readline(), 10)).decode().split()
@@ -103,14 +103,16 @@
 
 
 class LargeYard(y.Yard):
-    def __init__(self, record):
+    def __init__(self, record, task_seconds):
         super().__init__(record)
+        self.task_seconds = task_seconds
         self.farms, self.ends = [], {}
 
     async def start(self):
         await self.start_platform([])
         for i in range(FARMS):
-            self.farms.append(Farm(self, self.record))
+            self.farms.append(Farm(
+                self, self.record, self.task_seconds))
             await self.farms[-1].start(i * WORKERS_EACH)
         for i in range(HOSTS):
             self.hosts.append(y.Host(
@@ -137,7 +139,7 @@
                 self.hosts[number % HOSTS].address, "POST", y.PREFIX + job,
                 {"specification": "x", "steps": [
                     {"count": tasks, "cpu": 500, "mem-mb": 256,
-                     "estimate-ms": 8000}]})
+                     "estimate-ms": int(self.task_seconds * 1000)}]})
             self.record(f"job {job} of {tasks} tasks: {status}")
             if status == 200:
                 accepted.append(job)
