--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -10,4 +10,3 @@
 compile(open(sys.argv[1], encoding="utf-8").read(), sys.argv[1], "exec")
 PY
 done
-test -x target/bin/vanillayardd
